--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+BIN := .venv/bin
+DEPLOYMENT ?= pollenwacht
+SOURCES := balsamdale standins harness tests
+
+.PHONY: setup test lint format demo clean
+
+setup: .venv/ready
+
+.venv/ready: requirements.txt requirements-dev.txt pyproject.toml
+	@echo "setting up .venv with the pinned dependencies"
+	@$(PYTHON) -m venv .venv
+	@$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	@$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	@touch $@
+
+lint: setup
+	@$(BIN)/ruff format --check --quiet $(SOURCES)
+	@$(BIN)/flake8 $(SOURCES)
+
+format: setup
+	@$(BIN)/ruff format --quiet $(SOURCES)
+
+test: lint
+	@$(BIN)/python -m pytest
+
+demo: setup
+	@$(BIN)/python -m harness.demo --deployment $(DEPLOYMENT)
+
+clean:
+	rm -rf .venv build *.egg-info
--- /dev/null
+++ b/balsamdale/heartbeat.py
@@ -0,0 +1,182 @@
+"""Access to the heartbeats that keep the membership up to date.
+
+Performs the effects of `membership.Membership`.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+import functools
+import json
+
+from absl import logging
+
+from balsamdale import configuration
+from balsamdale import errors
+from balsamdale import keyvalue
+from balsamdale import link
+from balsamdale import membership
+from balsamdale import messages
+
+__all__ = ['INSTANCES_PREFIX', 'Heartbeat', 'instance_value']
+
+INSTANCES_PREFIX = 'platform/instances/'
+LIST_INTERVAL_S = 10.0
+LIST_RETRY_S = 1.0
+PING_TIMEOUT_S = 0.6
+
+
+def instance_value(instance: membership.Instance) -> bytes:
+    """Return the form in which the platform lists an instance."""
+    return json.dumps(
+        {
+            'id': instance.instance_id,
+            'failure_domain': instance.failure_domain,
+            'entry_address': instance.entry_address,
+            'link_address': instance.link_address,
+        }
+    ).encode()
+
+
+class Heartbeat:
+    """Sends and answers pings, and reads the platform's list.
+
+    Args:
+        links: connections to other instances.
+        store: the platform's key-value service, which holds the list.
+        members: the membership to keep up to date.
+        relay: told of peers with a later configuration.
+        changed: called with an instance id and its new status.
+        clock: returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        links: link.Links,
+        store: keyvalue.KeyValue,
+        members: membership.Membership,
+        relay: configuration.Relay,
+        changed: collections_abc.Callable[[str, str], None],
+        clock: collections_abc.Callable[[], float],
+    ):
+        self._links = links
+        self._store = store
+        self._members = members
+        self._relay = relay
+        self._changed = changed
+        self._clock = clock
+        self._tasks: set[asyncio.Task] = set()
+        self._pinging: set[str] = set()
+        links.serve(messages.Ping, self._on_ping)
+        links.serve(messages.Probe, self._on_probe)
+
+    async def run(self) -> None:
+        """Ping peers until cancelled."""
+        while True:
+            self.perform(self._members.tick(self._clock()))
+            await asyncio.sleep(membership.PING_INTERVAL_S)
+
+    async def run_list(self) -> None:
+        """Read the platform's list until cancelled."""
+        while True:
+            delay_s = LIST_INTERVAL_S
+            try:
+                await self._read_list()
+            except errors.KeyValueUnavailable:
+                delay_s = LIST_RETRY_S
+            await asyncio.sleep(delay_s)
+
+    def perform(self, effects: list) -> None:
+        """Carry out what the membership decided."""
+        for effect in effects:
+            if isinstance(effect, membership.SendPing):
+                self._ping_once(effect.peer_id)
+            elif isinstance(effect, membership.SendProbe):
+                self._spawn(self._probe(effect))
+            else:
+                logging.info(
+                    'membership: %s is %s', effect.instance_id, effect.status
+                )
+                self._changed(effect.instance_id, effect.status)
+
+    async def _read_list(self):
+        pairs, _ = await self._store.scan(INSTANCES_PREFIX)
+        listed = set()
+        for pair in pairs:
+            row = json.loads(pair.value)
+            instance = membership.Instance(
+                row['id'],
+                row['failure_domain'],
+                row['entry_address'],
+                row['link_address'],
+            )
+            listed.add(instance.instance_id)
+            self._members.learn(instance)
+            self._links.set_peer(instance.instance_id, instance.link_address)
+        for instance_id in set(self._members.instances) - listed:
+            self._members.forget(instance_id)
+
+    def _ping_once(self, peer_id):
+        if peer_id not in self._pinging:
+            self._pinging.add(peer_id)
+            self._spawn(self._ping(peer_id))
+
+    async def _ping(self, peer_id):
+        try:
+            reply = await self._links.request(
+                peer_id, self._message(messages.Ping), PING_TIMEOUT_S
+            )
+            self._hear(reply)
+        except errors.LinkError:
+            return
+        finally:
+            self._pinging.discard(peer_id)
+
+    async def _probe(self, effect):
+        try:
+            reply = await self._links.request(
+                effect.via_id, messages.Probe(effect.target_id)
+            )
+        except errors.LinkError:
+            return
+        if isinstance(reply, messages.Ok):
+            self._members.vouched(effect.target_id, self._clock())
+
+    async def _on_ping(self, _sender, message):
+        self._hear(message)
+        yield self._message(messages.Pong)
+
+    async def _on_probe(self, _sender, message):
+        try:
+            reply = await self._links.request(
+                message.target_id, self._message(messages.Ping), PING_TIMEOUT_S
+            )
+        except errors.LinkError:
+            yield messages.NotOwnerReply(0, '')
+            return
+        self._hear(reply)
+        yield messages.Ok()
+
+    def _message(self, kind):
+        return kind(
+            self._members.own_id,
+            self._relay.revision,
+            self._members.updates(),
+        )
+
+    def _hear(self, message):
+        effects = self._members.heard(
+            message.sender_id, message.updates, self._clock()
+        )
+        self._relay.behind(message.sender_id, message.revision)
+        self.perform(effects)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(functools.partial(_reap, self._tasks))
+
+
+def _reap(tasks, task):
+    tasks.discard(task)
+    if not task.cancelled() and task.exception() is not None:
+        logging.error('membership: a task failed: %r', task.exception())
--- /dev/null
+++ b/balsamdale/instance.py
@@ -0,0 +1,341 @@
+"""Access to one running instance: every role, joined together."""
+
+import asyncio
+import contextlib
+import random
+import time
+
+from absl import logging
+from aiohttp import web
+
+from balsamdale import backend
+from balsamdale import configuration
+from balsamdale import desk
+from balsamdale import entry
+from balsamdale import errors
+from balsamdale import grant
+from balsamdale import heartbeat
+from balsamdale import journal
+from balsamdale import keyvalue
+from balsamdale import link
+from balsamdale import membership
+from balsamdale import messages
+from balsamdale import metrics
+from balsamdale import owner
+from balsamdale import ownership
+from balsamdale import quarantine
+from balsamdale import replica
+from balsamdale import settings
+
+__all__ = ['Instance']
+
+DRAIN_S = 60.0
+DRAIN_POLL_S = 0.05
+REPAIR_INTERVAL_S = 1.0
+SWEEP_DELAY_S = 2.0
+
+
+class Instance:
+    """An instance of the system.
+
+    Args:
+        given: the settings of this instance.
+    """
+
+    def __init__(self, given: settings.Settings):
+        self.settings = given
+        self._generator = random.Random(given.instance_id)
+        self._tasks: set[asyncio.Task] = set()
+        self._runner: web.AppRunner | None = None
+        self._background: list[asyncio.Task] = []
+        self._store = keyvalue.EtcdKeyValue(given.key_value_addresses)
+        self._backends = backend.HttpBackends()
+        self.quarantine = quarantine.Quarantine()
+        self._build()
+
+    def _build(self):
+        given = self.settings
+        keys = link.KeyPair.load(given.key_file) if given.key_file else None
+        self.links = link.ZeroMQLinks(
+            given.instance_id, given.link_address, keys
+        )
+        self.journal = None
+        if given.data_folder:
+            self.journal = journal.DiskJournal(given.data_folder)
+            replica.Replica(self.journal, self.links)
+        self.members = membership.Membership(
+            membership.Instance(
+                given.instance_id,
+                given.failure_domain,
+                given.entry_address,
+                given.link_address,
+            ),
+            incarnation=int(time.time() * 1000),
+            folder_id=self.journal.folder_id if self.journal else '',
+            generator=self._generator,
+        )
+        self.relay = configuration.Relay(
+            self._store, self.links, self.members, self._applied
+        )
+        self.heartbeat = heartbeat.Heartbeat(
+            self.links,
+            self._store,
+            self.members,
+            self.relay,
+            self._changed,
+            time.time,
+        )
+        self._build_owner()
+        self.entry = entry.Entry(
+            self.links, self.owned, self.members, self.relay, self._generator
+        )
+        self._serve_messages()
+        self._build_metrics()
+
+    def _build_owner(self):
+        self.granter = grant.Granter(
+            self.links,
+            self.members,
+            self._backends,
+            self.relay.declared,
+            time.time,
+        )
+        grants = grant.Grants(
+            self.links,
+            self.members,
+            self.relay.declared,
+            time.time,
+            self._generator,
+        )
+        self.owner = owner.Owner(
+            owner.Surroundings(
+                backends=self._backends,
+                grants=grants,
+                declared=self.relay.declared,
+                clock=time.time,
+                quarantine=self.quarantine,
+                report_crash=self._report_crash,
+                generator=self._generator,
+            )
+        )
+        self.owned = ownership.Ownership(
+            self.links,
+            self._store,
+            self.members,
+            self.owner.opened,
+            self.owner.lost,
+        )
+        self.owner.owned = self.owned
+        self.desk = desk.Desk(self.links, self.owned, self.owner)
+
+    def _serve_messages(self):
+        self.links.serve(messages.ReportCrash, self._on_crash)
+        self.links.serve(messages.TakeOver, self._on_take_over)
+        self.links.serve(messages.PullOwners, self._on_pull_owners)
+
+    def _build_metrics(self):
+        self.metrics = metrics.Metrics()
+        gauges = (
+            ('programs', 'Programs held', lambda: len(self.owner.programs)),
+            ('turns_running', 'Turns that run', lambda: self.owner.busy),
+            ('shards', 'Shards served', lambda: len(self.owned.serving)),
+            ('calls_served', 'Calls answered', lambda: self.entry.served),
+            (
+                'configuration_revision',
+                'Revision in force',
+                lambda: self.relay.revision,
+            ),
+            (
+                'programs_short_of_copies',
+                'Shards with fewer than three copies',
+                self._short_of_copies,
+            ),
+            ('link_sent_bytes', 'Sent', lambda: self.links.sent_bytes),
+            (
+                'link_received_bytes',
+                'Received',
+                lambda: self.links.received_bytes,
+            ),
+            ('key_value_calls', 'Calls', lambda: self._store.calls),
+            ('live_instances', 'Live', lambda: len(self.members.usable())),
+        )
+        for name, description, read in gauges:
+            self.metrics.observe(f'balsamdale_{name}', description, read)
+
+    async def start(self) -> None:
+        """Join the deployment and listen for callers."""
+        self._background = [
+            asyncio.create_task(self.heartbeat.run_list()),
+            asyncio.create_task(self.heartbeat.run()),
+            asyncio.create_task(self.relay.run()),
+            asyncio.create_task(self.granter.run()),
+            asyncio.create_task(self._run_repair()),
+        ]
+        await self._listen()
+        await self.relay.wait_ready()
+        await self._restore_owners()
+        logging.info('instance: %s is ready', self.settings.instance_id)
+
+    async def stop(self) -> None:
+        """Stop gracefully: finish what is in flight, then hand over."""
+        logging.info('instance: leaving')
+        self.desk.is_leaving = True
+        self.heartbeat.perform(self.members.leave())
+        await self._drain()
+        numbers = [held.number for held in self.owned.serving]
+        await self.owned.hand_over()
+        for number in numbers:
+            await self._ask_take_over(number)
+        await self._runner.cleanup()
+        for task in [*self._background, *self._tasks]:
+            task.cancel()
+        await self.owner.close()
+        await self.owned.close()
+        await self.links.close()
+        await self._backends.close()
+        await self._store.close()
+        if self.journal is not None:
+            self.journal.close()
+        logging.info('instance: stopped')
+
+    async def _listen(self):
+        app = web.Application()
+        app.add_routes(self.entry.routes())
+        app.add_routes(
+            [
+                web.get('/healthz', self._healthz),
+                web.get('/readyz', self._readyz),
+                web.get('/metrics', self._metrics),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, _, port = self.settings.entry_address.rpartition(':')
+        site = web.TCPSite(self._runner, host.strip('[]'), int(port))
+        await site.start()
+
+    async def _drain(self):
+        """Wait until no call, turn or owned queue is in use."""
+        end_s = time.monotonic() + DRAIN_S
+        while time.monotonic() < end_s:
+            queued = sum(q.waiting + q.running for q in self.granter.queues())
+            if not self.owner.busy and not self.entry.in_flight and not queued:
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def _restore_owners(self):
+        """Learn who owns what, and take back what was this instance's."""
+        try:
+            numbers = await self.owned.read_owners()
+        except errors.KeyValueUnavailable:
+            await self._pull_owners()
+            return
+        for number in numbers:
+            self._spawn(self._open(number))
+
+    async def _pull_owners(self):
+        for peer_id in self.members.reachable():
+            with contextlib.suppress(errors.LinkError):
+                reply = await self.links.request(
+                    peer_id, messages.PullOwners()
+                )
+                for row in reply.shards:
+                    self.owned.learn(row.shard, row.epoch, row.owner_id)
+                return
+
+    async def _run_repair(self):
+        while True:
+            await asyncio.sleep(REPAIR_INTERVAL_S)
+            await self.owned.repair(time.time())
+
+    def _applied(self, revision):
+        return
+
+    def _changed(self, instance_id, status):
+        if status != 'dead' or self.desk.is_leaving:
+            return
+        for number, (_, owner_id) in self.owned.owners().items():
+            mine = self.owned.preferred(number) == self.settings.instance_id
+            if owner_id == instance_id and mine:
+                self._spawn(self._open(number))
+        if self.owned.preferred(-1) == self.settings.instance_id:
+            self._spawn(self._sweep())
+
+    async def _sweep(self):
+        """Find shards of dead owners that no announcement told of."""
+        await asyncio.sleep(SWEEP_DELAY_S)
+        with contextlib.suppress(errors.KeyValueUnavailable):
+            await self.owned.read_owners()
+            for number, (_, owner_id) in self.owned.owners().items():
+                if self.members.status(owner_id) == 'dead':
+                    await self._ask_take_over(number)
+
+    async def _ask_take_over(self, number):
+        peer_id = self.owned.preferred(number)
+        with contextlib.suppress(errors.LinkError):
+            await self.links.request(peer_id, messages.TakeOver(number))
+
+    async def _open(self, number):
+        try:
+            await self.owned.open(number)
+        except errors.NotOwner:
+            return
+        except errors.KeyValueUnavailable:
+            await asyncio.sleep(REPAIR_INTERVAL_S)
+            if self.owned.preferred(number) == self.settings.instance_id:
+                self._spawn(self._open(number))
+
+    async def _on_take_over(self, _sender, message):
+        self._spawn(self._open(message.shard))
+        yield messages.Ok()
+
+    async def _on_pull_owners(self, _sender, _message):
+        rows = (
+            messages.ShardOpened(number, owner_id, epoch)
+            for number, (epoch, owner_id) in self.owned.owners().items()
+        )
+        yield messages.Owners(tuple(rows))
+
+    def _report_crash(self, digest, server):
+        """Count a crash here and on every other instance."""
+        self.quarantine.report(digest, server)
+        message = messages.ReportCrash(server, digest)
+        for peer_id in self.members.reachable():
+            self._spawn(self._tell(peer_id, message))
+
+    async def _tell(self, peer_id, message):
+        with contextlib.suppress(errors.LinkError):
+            await self.links.request(peer_id, message)
+
+    async def _on_crash(self, _sender, message):
+        self.quarantine.report(message.digest, message.server)
+        yield messages.Ok()
+
+    def _short_of_copies(self):
+        return sum(
+            held.copies() < ownership.COPIES for held in self.owned.serving
+        )
+
+    async def _healthz(self, _request):
+        return web.json_response({'instance': self.settings.instance_id})
+
+    async def _readyz(self, _request):
+        is_ready = self.relay.is_ready and not self.desk.is_leaving
+        return web.json_response(
+            {'ready': is_ready}, status=200 if is_ready else 503
+        )
+
+    async def _metrics(self, _request):
+        return web.Response(
+            body=self.metrics.text(), content_type='text/plain'
+        )
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._reap)
+
+    def _reap(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logging.error('instance: a task failed: %r', task.exception())
--- /dev/null
+++ b/balsamdale/keyvalue.py
@@ -0,0 +1,253 @@
+"""Access to the platform's key-value service.
+
+`MemoryKeyValue` serves tests; `EtcdKeyValue` speaks the JSON form of the
+etcd v3 protocol.
+"""
+
+import abc
+import asyncio
+import base64
+from collections import abc as collections_abc
+import dataclasses
+import json
+
+import aiohttp
+
+from balsamdale import errors
+
+__all__ = ['EtcdKeyValue', 'KeyValue', 'MemoryKeyValue', 'Pair']
+
+CALL_TIMEOUT_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Pair:
+    """A key with its value; `revision` is that of its last write."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class KeyValue(abc.ABC):
+    """Compare-and-swap storage with watches.
+
+    Every method raises `KeyValueUnavailable` when the service does not
+    answer; for a write the error says whether it may have been applied.
+    """
+
+    @abc.abstractmethod
+    async def get(self, key: str) -> Pair | None:
+        """Return one pair, or None where the key does not exist."""
+
+    @abc.abstractmethod
+    async def scan(self, prefix: str) -> tuple[tuple[Pair, ...], int]:
+        """Return the pairs below a prefix and the store's revision."""
+
+    @abc.abstractmethod
+    async def swap(self, key: str, value: bytes, revision: int) -> int:
+        """Write a key if its revision still is the one given.
+
+        Args:
+            key: key to write.
+            value: new value.
+            revision: the expected revision; 0 expects no such key.
+
+        Returns:
+            The new revision, or 0 where the comparison failed.
+        """
+
+    @abc.abstractmethod
+    def watch(
+        self, prefix: str, revision: int
+    ) -> collections_abc.AsyncIterator[Pair]:
+        """Yield each later write below a prefix.
+
+        Args:
+            prefix: start of the keys.
+            revision: first revision to yield.
+        """
+
+    async def close(self) -> None:
+        """Release connections."""
+        return
+
+
+class MemoryKeyValue(KeyValue):
+    """A key-value service inside the process."""
+
+    def __init__(self):
+        self._pairs: dict[str, Pair] = {}
+        self._writes: list[Pair] = []
+        self._changed = asyncio.Event()
+        self.revision = 0
+        self.available = True
+        self.lose_next_answer = False
+
+    async def get(self, key: str) -> Pair | None:
+        self._check()
+        return self._pairs.get(key)
+
+    async def scan(self, prefix: str) -> tuple[tuple[Pair, ...], int]:
+        self._check()
+        keys = sorted(key for key in self._pairs if key.startswith(prefix))
+        return tuple(self._pairs[key] for key in keys), self.revision
+
+    async def swap(self, key: str, value: bytes, revision: int) -> int:
+        self._check()
+        held = self._pairs.get(key)
+        if (held.revision if held else 0) != revision:
+            return 0
+        self.revision += 1
+        self._pairs[key] = Pair(key, value, self.revision)
+        self._writes.append(self._pairs[key])
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if self.lose_next_answer:
+            self.lose_next_answer = False
+            raise errors.KeyValueUnavailable('answer lost', True)
+        return self.revision
+
+    async def watch(
+        self, prefix: str, revision: int
+    ) -> collections_abc.AsyncIterator[Pair]:
+        index = 0
+        while True:
+            changed = self._changed
+            while index < len(self._writes):
+                pair = self._writes[index]
+                index += 1
+                if pair.revision >= revision and pair.key.startswith(prefix):
+                    yield pair
+            await changed.wait()
+
+    def _check(self):
+        if not self.available:
+            raise errors.KeyValueUnavailable('outage', False)
+
+
+class EtcdKeyValue(KeyValue):
+    """The platform's service, reached by the etcd v3 JSON gateway.
+
+    Args:
+        addresses: IP numbers and ports, tried in order.
+    """
+
+    def __init__(self, addresses: tuple[str, ...]):
+        self._addresses = addresses
+        self._session: aiohttp.ClientSession | None = None
+        self.calls = 0
+
+    async def get(self, key: str) -> Pair | None:
+        answer = await self._call('/v3/kv/range', {'key': _wrap(key)}, False)
+        pairs = tuple(_pairs(answer.get('kvs', ())))
+        return pairs[0] if pairs else None
+
+    async def scan(self, prefix: str) -> tuple[tuple[Pair, ...], int]:
+        body = {'key': _wrap(prefix), 'range_end': _wrap(_after(prefix))}
+        answer = await self._call('/v3/kv/range', body, False)
+        revision = int(answer.get('header', {}).get('revision', 0))
+        return tuple(_pairs(answer.get('kvs', ()))), revision
+
+    async def swap(self, key: str, value: bytes, revision: int) -> int:
+        compare = {
+            'key': _wrap(key),
+            'target': 'MOD',
+            'result': 'EQUAL',
+            'mod_revision': str(revision),
+        }
+        put = {'key': _wrap(key), 'value': _wrap_bytes(value)}
+        body = {'compare': [compare], 'success': [{'request_put': put}]}
+        answer = await self._call('/v3/kv/txn', body, True)
+        if not answer.get('succeeded'):
+            return 0
+        return int(answer['header']['revision'])
+
+    async def watch(
+        self, prefix: str, revision: int
+    ) -> collections_abc.AsyncIterator[Pair]:
+        request = {
+            'key': _wrap(prefix),
+            'range_end': _wrap(_after(prefix)),
+            'start_revision': str(revision),
+        }
+        self.calls += 1
+        url = f'http://{self._addresses[0]}/v3/watch'
+        timeout = aiohttp.ClientTimeout(total=None, connect=CALL_TIMEOUT_S)
+        try:
+            async with self._client().post(
+                url, json={'create_request': request}, timeout=timeout
+            ) as response:
+                async for line in response.content:
+                    for pair in _events(json.loads(line)):
+                        yield pair
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise errors.KeyValueUnavailable(str(error), False) from error
+
+    async def close(self) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    def _client(self):
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    async def _call(self, path, body, is_write):
+        detail = 'no address'
+        maybe_applied = False
+        for address in self._addresses:
+            try:
+                return await self._post(f'http://{address}{path}', body)
+            except aiohttp.ClientConnectorError as error:
+                detail = str(error)
+            except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+                detail = str(error) or type(error).__name__
+                maybe_applied = is_write
+            if maybe_applied:
+                break
+        raise errors.KeyValueUnavailable(detail, maybe_applied)
+
+    async def _post(self, url, body):
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        async with self._client().post(
+            url, json=body, timeout=timeout
+        ) as response:
+            response.raise_for_status()
+            return await response.json()
+
+
+def _wrap(text):
+    return _wrap_bytes(text.encode())
+
+
+def _wrap_bytes(data):
+    return base64.b64encode(data).decode()
+
+
+def _after(prefix):
+    """Return the end of the range that holds every key of a prefix."""
+    last = prefix[-1]
+    return prefix[:-1] + chr(ord(last) + 1)
+
+
+def _pairs(rows):
+    for row in rows:
+        yield Pair(
+            base64.b64decode(row['key']).decode(),
+            base64.b64decode(row.get('value', '')),
+            int(row['mod_revision']),
+        )
+
+
+def _events(line):
+    result = line.get('result', {})
+    if result.get('canceled'):
+        raise errors.KeyValueUnavailable('watch cancelled', False)
+    puts = (
+        event['kv']
+        for event in result.get('events', ())
+        if event.get('type', 'PUT') == 'PUT'
+    )
+    yield from _pairs(puts)
--- /dev/null
+++ b/balsamdale/membership.py
@@ -0,0 +1,266 @@
+"""Access to the set of live instances.
+
+Each instance pings a few ring successors and one other peer. A successor
+that stays silent is probed through others before it counts as dead; a wrong
+verdict is harmless, because takeovers are fenced by epochs. Changes travel
+with the pings.
+"""
+
+import dataclasses
+import math
+import random
+
+from balsamdale import messages
+from balsamdale import placement
+
+__all__ = [
+    'Changed',
+    'Instance',
+    'Membership',
+    'SendPing',
+    'SendProbe',
+]
+
+PING_INTERVAL_S = 0.3
+SILENCE_S = 0.9
+VERDICT_S = 0.4
+SUCCESSORS = 3
+PROBES = 2
+FANOUT = 3
+UPDATE_LIMIT = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class Instance:
+    """An instance as the platform's list names it."""
+
+    instance_id: str
+    failure_domain: str
+    entry_address: str
+    link_address: str
+
+
+@dataclasses.dataclass(frozen=True)
+class SendPing:
+    """Ping a peer, then call `heard` with its answer."""
+
+    peer_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class SendProbe:
+    """Ask `via_id` to ping a silent peer, then call `vouched`."""
+
+    via_id: str
+    target_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Changed:
+    """An instance's status changed."""
+
+    instance_id: str
+    status: str
+
+
+class Membership:
+    """Who is alive, as far as this instance knows.
+
+    Args:
+        instance: this instance.
+        incarnation: a number above those of earlier lives, such as the
+            start time in milliseconds.
+        folder_id: the data folder of this instance, or an empty string.
+        generator: source of random choices.
+    """
+
+    def __init__(
+        self,
+        instance: Instance,
+        incarnation: int,
+        folder_id: str,
+        generator: random.Random,
+    ):
+        self.instance = instance
+        self.instances: dict[str, Instance] = {}
+        self._generator = generator
+        self._states: dict[str, messages.MemberUpdate] = {}
+        self._sends_left: dict[str, int] = {}
+        self._heard_at_s: dict[str, float] = {}
+        self._probed_at_s: dict[str, float] = {}
+        self.learn(instance)
+        self._apply(
+            messages.MemberUpdate(
+                instance.instance_id, incarnation, 'alive', folder_id
+            )
+        )
+
+    @property
+    def own_id(self) -> str:
+        """Id of this instance."""
+        return self.instance.instance_id
+
+    def learn(self, instance: Instance) -> None:
+        """Take an instance over from the platform's list."""
+        self.instances[instance.instance_id] = instance
+
+    def forget(self, instance_id: str) -> None:
+        """Drop an instance that the platform no longer lists."""
+        if instance_id != self.own_id and self.status(instance_id) != 'alive':
+            self.instances.pop(instance_id, None)
+
+    def status(self, instance_id: str) -> str:
+        """Return 'alive', 'leaving', 'dead' or 'unknown'."""
+        state = self._states.get(instance_id)
+        return state.status if state else 'unknown'
+
+    def folder_id(self, instance_id: str) -> str:
+        """Return an instance's data folder, or an empty string."""
+        state = self._states.get(instance_id)
+        return state.folder_id if state else ''
+
+    def usable(self) -> list[Instance]:
+        """Return instances that may take on work, sorted by id."""
+        return [
+            self.instances[name]
+            for name in sorted(self.instances)
+            if self.status(name) == 'alive'
+        ]
+
+    def reachable(self) -> list[str]:
+        """Return ids of other instances that are not known to be dead."""
+        return [
+            name
+            for name in sorted(self.instances)
+            if name != self.own_id and self.status(name) != 'dead'
+        ]
+
+    def leave(self) -> list:
+        """Announce that this instance takes on no more work."""
+        own = self._states[self.own_id]
+        leaving = dataclasses.replace(
+            own, incarnation=own.incarnation + 1, status='leaving'
+        )
+        self._apply(leaving)
+        return self._spread()
+
+    def tick(self, now_s: float) -> list:
+        """Return the pings that are due, and verdicts on silent peers."""
+        effects = []
+        for peer_id in self._watched():
+            effects.append(SendPing(peer_id))
+            effects += self._judge(peer_id, now_s)
+        others = self.reachable()
+        if others:
+            effects.append(SendPing(self._generator.choice(others)))
+        return effects
+
+    def updates(self) -> tuple[messages.MemberUpdate, ...]:
+        """Return changes to send along, each a bounded number of times."""
+        chosen = sorted(
+            self._sends_left, key=self._sends_left.get, reverse=True
+        )[:UPDATE_LIMIT]
+        for name in chosen:
+            self._sends_left[name] -= 1
+            if self._sends_left[name] <= 0:
+                del self._sends_left[name]
+        return tuple(self._states[name] for name in chosen)
+
+    def heard(
+        self,
+        peer_id: str,
+        updates: tuple[messages.MemberUpdate, ...],
+        now_s: float,
+    ) -> list:
+        """Handle a ping or its answer."""
+        self._heard_at_s[peer_id] = now_s
+        self._probed_at_s.pop(peer_id, None)
+        effects = []
+        for update in updates:
+            effects += self.merge(update)
+        if self.status(peer_id) == 'dead':
+            # Tell the peer of the verdict, so that it can refute it.
+            self._queue(peer_id)
+        elif self.status(peer_id) == 'unknown':
+            self._queue(self.own_id)
+        return effects
+
+    def vouched(self, target_id: str, now_s: float) -> None:
+        """Handle word from another instance that a silent peer lives."""
+        self._heard_at_s[target_id] = now_s
+        self._probed_at_s.pop(target_id, None)
+
+    def merge(self, update: messages.MemberUpdate) -> list:
+        """Take over what a peer knows of an instance."""
+        if update.instance_id == self.own_id:
+            return self._refute(update)
+        held = self._states.get(update.instance_id)
+        if held is not None and not _newer(update, held):
+            return []
+        return self._apply(update) + self._spread()
+
+    def _refute(self, update):
+        own = self._states[self.own_id]
+        if not _newer(update, own):
+            return []
+        self._apply(
+            dataclasses.replace(own, incarnation=update.incarnation + 1)
+        )
+        return self._spread()
+
+    def _apply(self, update):
+        before = self.status(update.instance_id)
+        self._states[update.instance_id] = update
+        self._queue(update.instance_id)
+        if before == update.status:
+            return []
+        return [Changed(update.instance_id, update.status)]
+
+    def _queue(self, name):
+        count = len(self.instances) + 1
+        self._sends_left[name] = 3 * math.ceil(math.log2(count) + 1)
+
+    def _spread(self):
+        others = self.reachable()
+        count = min(FANOUT, len(others))
+        return [SendPing(n) for n in self._generator.sample(others, count)]
+
+    def _watched(self):
+        """Return the ring successors of this instance."""
+        ring = placement.rank('ring', sorted(self.instances))
+        index = ring.index(self.own_id)
+        following = ring[index + 1 :] + ring[:index]
+        alive = (name for name in following if self.status(name) != 'dead')
+        return [name for _, name in zip(range(SUCCESSORS), alive)]
+
+    def _judge(self, peer_id, now_s):
+        """Probe a silent peer; without a voucher, declare it dead."""
+        heard_at_s = self._heard_at_s.setdefault(peer_id, now_s)
+        if now_s - heard_at_s < SILENCE_S:
+            return []
+        if peer_id not in self._probed_at_s:
+            self._probed_at_s[peer_id] = now_s
+            return self._probe(peer_id)
+        if now_s - self._probed_at_s[peer_id] < VERDICT_S:
+            return []
+        del self._probed_at_s[peer_id]
+        held = self._states.get(peer_id)
+        if held is None:
+            return []
+        dead = dataclasses.replace(held, status='dead')
+        return self._apply(dead) + self._spread()
+
+    def _probe(self, peer_id):
+        others = [name for name in self.reachable() if name != peer_id]
+        count = min(PROBES, len(others))
+        chosen = self._generator.sample(others, count)
+        return [SendProbe(via, peer_id) for via in chosen]
+
+
+ORDER = {'alive': 0, 'leaving': 1, 'dead': 2}
+
+
+def _newer(update, held):
+    """Tell whether an update supersedes what is held."""
+    offered = (update.incarnation, ORDER[update.status])
+    return offered > (held.incarnation, ORDER[held.status])
--- /dev/null
+++ b/balsamdale/ownership.py
@@ -0,0 +1,445 @@
+"""Access to the shards that this instance owns, and to who owns the rest.
+
+Performs the effects of `shard.Shard`: writes to the key-value service, and
+messages to journals.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+import functools
+import uuid
+
+from absl import logging
+
+from balsamdale import codec
+from balsamdale import errors
+from balsamdale import keyvalue
+from balsamdale import link
+from balsamdale import membership
+from balsamdale import messages
+from balsamdale import placement
+from balsamdale import shard
+
+__all__ = ['Ownership']
+
+OPEN_TIMEOUT_S = 6.0
+RETRY_S = 0.2
+REPLACE_AFTER_S = 5.0
+COPIES = 3
+
+
+class Ownership:
+    """Claims shards, replicates their logs and repairs lost copies.
+
+    Args:
+        links: connections to other instances.
+        store: the platform's key-value service.
+        members: the live instances.
+        opened: called with a shard once its log may be read.
+        lost: called with a shard number once another owner has it.
+    """
+
+    def __init__(
+        self,
+        links: link.Links,
+        store: keyvalue.KeyValue,
+        members: membership.Membership,
+        opened: collections_abc.Callable[[shard.Shard], None],
+        lost: collections_abc.Callable[[int], None],
+    ):
+        self._links = links
+        self._store = store
+        self._members = members
+        self._opened = opened
+        self._lost = lost
+        self._shards: dict[int, shard.Shard] = {}
+        self._opening: dict[int, asyncio.Future] = {}
+        self._commits: dict[int, list[tuple[int, asyncio.Future]]] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._owners: dict[int, tuple[int, str]] = {}
+        self._missing_since_s: dict[str, float] = {}
+        links.serve(messages.ShardOpened, self._on_opened)
+
+    @property
+    def serving(self) -> list[shard.Shard]:
+        """Shards that this instance serves."""
+        return [s for s in self._shards.values() if s.serves]
+
+    def hint(self, number: int) -> str:
+        """Return the last known owner of a shard, or an empty string."""
+        return self._owners.get(number, (0, ''))[1]
+
+    def owners(self) -> dict[int, tuple[int, str]]:
+        """Return every known owner with its epoch, by shard."""
+        return dict(self._owners)
+
+    def learn(self, number: int, epoch: int, owner_id: str) -> None:
+        """Remember the owner of a shard unless a later one is known."""
+        if epoch >= self._owners.get(number, (0, ''))[0]:
+            self._owners[number] = (epoch, owner_id)
+
+    def unlearn(self, number: int) -> None:
+        """Forget an owner that no longer has the shard."""
+        self._owners.pop(number, None)
+
+    async def read_owners(self) -> list[int]:
+        """Learn every owner from the key-value service.
+
+        Returns:
+            The shards that are this instance's by their key.
+
+        Raises:
+            KeyValueUnavailable: the service is down.
+        """
+        pairs, _ = await self._store.scan(placement.PREFIX)
+        own = []
+        for pair in pairs:
+            held = codec.decode(pair.value)
+            self.learn(held.shard, held.epoch, held.owner_id)
+            if held.owner_id == self._members.own_id:
+                own.append(held.shard)
+        return own
+
+    async def find(self, number: int) -> str:
+        """Return the instance that should be asked about a shard.
+
+        Raises:
+            KeyValueUnavailable: no owner is known and the service is down.
+        """
+        owner_id = self.hint(number)
+        if owner_id and self._members.status(owner_id) != 'dead':
+            return owner_id
+        pair = await self._store.get(placement.key_of(number))
+        if pair is not None:
+            held = codec.decode(pair.value)
+            self.learn(number, held.epoch, held.owner_id)
+            if self._members.status(held.owner_id) in ('alive', 'leaving'):
+                return held.owner_id
+        return self.preferred(number)
+
+    def preferred(self, number: int) -> str:
+        """Return the live instance that should take a shard over."""
+        names = [i.instance_id for i in self._members.usable()]
+        ranked = placement.rank(f'shard-{number}', names)
+        return ranked[0] if ranked else ''
+
+    async def open(self, number: int) -> shard.Shard:
+        """Return a shard that this instance serves; claim it if needed.
+
+        Raises:
+            NotOwner: another live instance owns the shard.
+            KeyValueUnavailable: the shard cannot be claimed now.
+        """
+        held = self._shards.get(number)
+        if held is not None and held.serves:
+            return held
+        if number not in self._opening:
+            future = asyncio.get_running_loop().create_future()
+            future.add_done_callback(_retrieve)
+            self._opening[number] = future
+            self._spawn(self._claim(number, future))
+        try:
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                return await asyncio.shield(self._opening[number])
+        except TimeoutError as error:
+            raise errors.KeyValueUnavailable('no takeover', False) from error
+
+    async def append(
+        self, number: int, program_id: str, bodies: tuple[bytes, ...]
+    ) -> None:
+        """Add records to a shard's log and wait until they are durable.
+
+        Raises:
+            NotOwner: the shard was lost; the records may or may not last.
+        """
+        held = self._shards.get(number)
+        if held is None or not held.serves:
+            raise errors.NotOwner(number, self.hint(number))
+        effects = held.append(program_id, bodies)
+        future = asyncio.get_running_loop().create_future()
+        waiting = self._commits.setdefault(number, [])
+        waiting.append((len(held.log), future))
+        self._perform(held, effects)
+        await future
+
+    async def hand_over(self) -> None:
+        """Give every shard up, for a planned stop."""
+        for held in self.serving:
+            effects = held.hand_over(uuid.uuid4().hex)
+            for effect in effects:
+                await self._swap_once(held, effect)
+            self._forget(held)
+
+    async def repair(self, now_s: float) -> None:
+        """Move copies away from data folders that stay missing."""
+        self._note_missing(now_s)
+        for held in self.serving:
+            for folder in held.placed.folders:
+                since_s = self._missing_since_s.get(folder.folder_id)
+                if since_s is None or now_s - since_s < REPLACE_AFTER_S:
+                    continue
+                fresh = self._spare(held)
+                if fresh is not None:
+                    logging.info(
+                        'ownership: shard %d moves a copy to %s',
+                        held.number,
+                        fresh.instance_id,
+                    )
+                    change_id = uuid.uuid4().hex
+                    self._perform(
+                        held,
+                        held.replace(folder.folder_id, fresh, change_id),
+                    )
+                    break
+
+    def folders(self) -> list[placement.DataFolder]:
+        """Return the data folders of live instances."""
+        return [
+            placement.DataFolder(folder_id, i.instance_id, i.failure_domain)
+            for i in self._members.usable()
+            if (folder_id := self._members.folder_id(i.instance_id))
+        ]
+
+    async def close(self) -> None:
+        """Stop all work without handing over."""
+        for task in list(self._tasks):
+            task.cancel()
+        for held in list(self._shards.values()):
+            held.detach()
+
+    async def _claim(self, number, future):
+        try:
+            await self._claim_once(number)
+        except (errors.KeyValueUnavailable, errors.NotOwner) as error:
+            self._opening.pop(number, None)
+            if not future.done():
+                future.set_exception(error)
+
+    async def _claim_once(self, number):
+        pair = await self._store.get(placement.key_of(number))
+        placed = codec.decode(pair.value) if pair else None
+        if placed is not None:
+            self.learn(number, placed.epoch, placed.owner_id)
+            status = self._members.status(placed.owner_id)
+            other = placed.owner_id != self._members.own_id
+            if other and status in ('alive', 'leaving'):
+                raise errors.NotOwner(number, placed.owner_id)
+        folders = tuple(self._fresh_folders(number))
+        if placed is None and len(folders) < 2:
+            raise errors.KeyValueUnavailable('fewer than two disks', False)
+        held = shard.Shard(number, self._members.own_id)
+        self._shards[number] = held
+        revision = pair.revision if pair else 0
+        change_id = uuid.uuid4().hex
+        self._perform(held, held.claim(placed, revision, folders, change_id))
+
+    def _fresh_folders(self, number):
+        """Choose folders for a new shard, each in its own domain."""
+        by_id = {f.folder_id: f for f in self.folders()}
+        domains = set()
+        for folder_id in placement.rank(f'copies-{number}', sorted(by_id)):
+            folder = by_id[folder_id]
+            if folder.failure_domain in domains:
+                continue
+            domains.add(folder.failure_domain)
+            yield folder
+            if len(domains) == COPIES:
+                return
+
+    def _spare(self, held):
+        """Choose a folder for a lost copy, in a free domain if possible."""
+        used = {f.folder_id for f in held.placed.folders}
+        domains = {
+            f.failure_domain
+            for f in held.placed.folders
+            if f.folder_id not in self._missing_since_s
+        }
+        free = [f for f in self.folders() if f.folder_id not in used]
+        free.sort(key=lambda f: f.failure_domain in domains)
+        return free[0] if free else None
+
+    def _note_missing(self, now_s):
+        present = {f.folder_id for f in self.folders()}
+        for held in self.serving:
+            for folder in held.placed.folders:
+                if folder.folder_id in present:
+                    self._missing_since_s.pop(folder.folder_id, None)
+                else:
+                    self._missing_since_s.setdefault(folder.folder_id, now_s)
+
+    def _perform(self, held, effects):
+        for effect in effects:
+            self._do(held, effect)
+
+    def _do(self, held, effect):
+        handlers = {
+            shard.SwapKey: self._swap,
+            shard.ReadKey: self._read_key,
+            shard.SendSeal: self._send_seal,
+            shard.SendRead: self._send_read,
+            shard.SendAppend: self._send_append,
+            shard.SendDrop: self._send_drop,
+        }
+        handler = handlers.get(type(effect))
+        if handler is not None:
+            self._spawn(handler(held, effect))
+        elif isinstance(effect, shard.Committed):
+            self._on_committed(held, effect.length)
+        elif isinstance(effect, shard.Opened):
+            self._on_open(held)
+        else:
+            self._on_lost(held)
+
+    async def _swap(self, held, effect):
+        if self._shards.get(held.number) is held:
+            self._perform(held, await self._swap_once(held, effect))
+
+    async def _swap_once(self, held, effect):
+        key = placement.key_of(held.number)
+        value = codec.encode(effect.value)
+        try:
+            revision = await self._store.swap(key, value, effect.revision)
+        except errors.KeyValueUnavailable:
+            await asyncio.sleep(RETRY_S)
+            return held.swap_unknown()
+        return held.swapped(revision)
+
+    async def _read_key(self, held, effect):
+        try:
+            pair = await self._store.get(placement.key_of(held.number))
+        except errors.KeyValueUnavailable:
+            await asyncio.sleep(RETRY_S)
+            self._perform(held, [effect])
+            return
+        placed = codec.decode(pair.value) if pair else None
+        if placed is not None:
+            self.learn(held.number, placed.epoch, placed.owner_id)
+        revision = pair.revision if pair else 0
+        self._perform(held, held.key_read(placed, revision))
+
+    async def _send_seal(self, held, effect):
+        folder = effect.folder
+        message = messages.Seal(folder.folder_id, held.number, effect.epoch)
+        reply = await self._ask(folder, message)
+        if reply is None or reply.outcome == 'wrong_folder':
+            await asyncio.sleep(RETRY_S)
+            effects = held.seal_unanswered(folder.folder_id)
+        elif reply.outcome == 'stale':
+            effects = held.stale(reply.state.held_epoch)
+        else:
+            effects = held.sealed(folder.folder_id, reply.state)
+        self._perform(held, effects)
+
+    async def _send_read(self, held, effect):
+        message = messages.ReadLog(
+            effect.folder.folder_id, held.number, effect.sequence
+        )
+        reply = await self._ask(effect.folder, message)
+        if reply is None or not reply.entries:
+            await asyncio.sleep(RETRY_S)
+            effects = held.read_unanswered()
+        else:
+            effects = held.fetched(reply.entries)
+        self._perform(held, effects)
+
+    async def _send_append(self, held, effect):
+        folder = effect.folder
+        message = messages.AppendEntries(
+            folder.folder_id, held.number, effect.epoch, effect.entries
+        )
+        reply = await self._ask(folder, message)
+        outcome = reply.outcome if reply is not None else 'unanswered'
+        if outcome == 'ok':
+            effects = held.appended(folder.folder_id, reply.length)
+        elif outcome == 'gap':
+            effects = held.gap(folder.folder_id, reply.length)
+        elif outcome == 'stale':
+            effects = held.stale(reply.length)
+        else:
+            await asyncio.sleep(RETRY_S)
+            effects = held.unanswered(folder.folder_id)
+        self._perform(held, effects)
+
+    async def _send_drop(self, held, effect):
+        message = messages.DropLog(
+            effect.folder.folder_id, held.number, effect.epoch
+        )
+        await self._ask(effect.folder, message)
+
+    async def _ask(self, folder, message):
+        try:
+            return await self._links.request(folder.instance_id, message)
+        except errors.LinkError:
+            return None
+
+    def _on_committed(self, held, length):
+        waiting = self._commits.get(held.number, [])
+        while waiting and waiting[0][0] <= length:
+            _, future = waiting.pop(0)
+            if not future.done():
+                future.set_result(None)
+
+    def _on_open(self, held):
+        logging.info(
+            'ownership: shard %d opened at epoch %d with %d records',
+            held.number,
+            held.epoch,
+            len(held.log),
+        )
+        own_id = self._members.own_id
+        self.learn(held.number, held.epoch, own_id)
+        self._opened(held)
+        future = self._opening.pop(held.number, None)
+        if future is not None and not future.done():
+            future.set_result(held)
+        notice = messages.ShardOpened(held.number, own_id, held.epoch)
+        for peer_id in self._members.reachable():
+            self._spawn(self._announce(peer_id, notice))
+
+    async def _announce(self, peer_id, notice):
+        try:
+            await self._links.request(peer_id, notice)
+        except errors.LinkError:
+            logging.debug('ownership: %s was not told', peer_id)
+
+    async def _on_opened(self, _sender, message):
+        self.learn(message.shard, message.epoch, message.owner_id)
+        yield messages.Ok()
+
+    def _on_lost(self, held):
+        logging.info('ownership: shard %d has another owner', held.number)
+        self._forget(held)
+
+    def _forget(self, held):
+        number = held.number
+        if self._shards.get(number) is not held:
+            return
+        del self._shards[number]
+        held.detach()
+        if self.hint(number) == self._members.own_id:
+            self._owners.pop(number)
+        error = errors.NotOwner(number, self.hint(number))
+        for _, future in self._commits.pop(number, []):
+            if not future.done():
+                future.set_exception(error)
+        opening = self._opening.pop(number, None)
+        if opening is not None and not opening.done():
+            opening.set_exception(error)
+        self._lost(number)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(functools.partial(_reap, self._tasks))
+
+
+def _retrieve(future):
+    """Mark a failure as seen where nobody waits any more."""
+    if not future.cancelled():
+        future.exception()
+
+
+def _reap(tasks, task):
+    tasks.discard(task)
+    if not task.cancelled() and task.exception() is not None:
+        logging.error('ownership: a task failed: %r', task.exception())
--- /dev/null
+++ b/balsamdale/settings.py
@@ -0,0 +1,75 @@
+"""Access to the local settings of one instance."""
+
+import dataclasses
+import ipaddress
+import pathlib
+
+from balsamdale import findings
+
+__all__ = ['Settings', 'load']
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """Who this instance is and where it finds the platform.
+
+    Attributes:
+        instance_id: name of the instance, unique in the deployment.
+        failure_domain: failure domain that the instance stands in.
+        entry_address: IP number and port for callers and operators.
+        link_address: IP number and port for other instances.
+        key_value_addresses: addresses of the platform's key-value service.
+        key_file: file with the deployment's CURVE key pair; empty for none.
+        data_folder: folder on the instance's disk; empty without a disk.
+        log_level: 'info', or 'debug' for more detail.
+    """
+
+    instance_id: str
+    failure_domain: str
+    entry_address: str
+    link_address: str
+    key_value_addresses: tuple[str, ...]
+    key_file: str = ''
+    data_folder: str = ''
+    log_level: str = 'info'
+
+
+def load(path: str) -> Settings:
+    """Read and check a settings file.
+
+    Raises:
+        CheckFailed: the file holds mistakes, all of which are listed.
+    """
+    document = findings.Document.load(path)
+    settings = None
+    if not document.findings:
+        settings = document.table(Settings, '')
+    if settings is not None:
+        _check(document, settings)
+    document.close()
+    return settings
+
+
+def _check(document, settings):
+    for key in ('entry_address', 'link_address'):
+        check_address(document, key, getattr(settings, key))
+    for address in settings.key_value_addresses:
+        check_address(document, 'key_value_addresses', address)
+    if not settings.key_value_addresses:
+        document.add('key_value_addresses', 'needs at least one address')
+    if settings.log_level not in ('info', 'debug'):
+        document.add('log_level', "must be 'info' or 'debug'")
+    if settings.key_file and not pathlib.Path(settings.key_file).is_file():
+        document.add('key_file', 'no such file')
+
+
+def check_address(document: findings.Document, key: str, address: str) -> None:
+    """Record a finding unless an address is an IP number and a port."""
+    host, _, port = address.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        document.add(key, f'{address!r} needs an IP number and a port')
+        return
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        document.add(key, f'{address!r} has no valid port')
--- /dev/null
+++ b/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that start, load and measure balsamdale from outside."""
--- /dev/null
+++ b/harness/client.py
@@ -0,0 +1,164 @@
+"""Access to balsamdale as a caller uses it, over HTTP."""
+
+import asyncio
+import dataclasses
+import json
+
+import aiohttp
+
+__all__ = ['Answer', 'Caller']
+
+TRIES = 40
+PAUSE_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """The final answer to a call.
+
+    Attributes:
+        text: the whole answer.
+        code: 'ok', or the stable code of the refusal.
+        ran: 'no', 'yes' or 'unknown'.
+        retry_after_s: when to come back, or None.
+        restarts: how often the answer started again.
+        first_s: seconds from the call to the first text.
+    """
+
+    text: str
+    code: str
+    ran: str
+    retry_after_s: float | None = None
+    restarts: int = 0
+    first_s: float = 0.0
+
+
+class Caller:
+    """A caller that tries the next address when a connection fails.
+
+    Args:
+        session: HTTP session to use.
+        name: the caller's name.
+        addresses: entry addresses known from the settings.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, name: str, addresses: list[str]
+    ):
+        self._session = session
+        self._name = name
+        self._addresses = list(addresses)
+
+    async def learn(self) -> list[str]:
+        """Ask the system which addresses to use."""
+        _, body = await self._call('GET', '/v1/entry', {})
+        self._addresses = body['addresses'] + [
+            a for a in self._addresses if a not in body['addresses']
+        ]
+        return body['addresses']
+
+    async def create(self, program_id: str, contract: str, **terms) -> dict:
+        """Create a program."""
+        body = {'contract': contract, **terms}
+        path = f'/v1/programs/{program_id}'
+        return (await self._call('PUT', path, {}, json.dumps(body)))[1]
+
+    async def view(self, program_id: str) -> dict:
+        """Read a program's history."""
+        return (await self._call('GET', f'/v1/programs/{program_id}', {}))[1]
+
+    async def end(self, program_id: str) -> dict:
+        """End a program."""
+        path = f'/v1/programs/{program_id}'
+        return (await self._call('DELETE', path, {}))[1]
+
+    async def turn(
+        self, program_id: str, request_id: str, text: str
+    ) -> Answer:
+        """Run a turn as a stream; go on elsewhere when it breaks."""
+        path = f'/v1/programs/{program_id}/turns'
+        headers = {
+            'Idempotency-Key': request_id,
+            'Accept': 'text/event-stream',
+        }
+        body = json.dumps({'text': text})
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        for attempt in range(TRIES):
+            try:
+                return await self._stream(path, headers, body, started_s)
+            except (aiohttp.ClientError, TimeoutError):
+                self._rotate()
+                await asyncio.sleep(PAUSE_S)
+        raise TimeoutError(path)
+
+    async def request(
+        self, service: str, request_id: str, text: str
+    ) -> Answer:
+        """Send a request to a plain service."""
+        path = f'/v1/services/{service}/requests'
+        headers = {'Idempotency-Key': request_id}
+        status, body = await self._call('POST', path, headers, text)
+        if status >= 400:
+            return _refusal(body)
+        return Answer(body['text'], 'ok', 'yes')
+
+    async def _stream(self, path, headers, body, started_s):
+        url = f'http://{self._addresses[0]}{path}'
+        headers = {**headers, 'X-Caller': self._name}
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=30)
+        async with self._session.post(
+            url, data=body, headers=headers, timeout=timeout
+        ) as response:
+            if response.status >= 400:
+                return _refusal(await response.json(content_type=None))
+            return await _read_events(response, started_s)
+
+    async def _call(self, method, path, headers, body=None):
+        headers = {**headers, 'X-Caller': self._name}
+        for attempt in range(TRIES):
+            url = f'http://{self._addresses[0]}{path}'
+            timeout = aiohttp.ClientTimeout(total=30)
+            try:
+                async with self._session.request(
+                    method, url, data=body, headers=headers, timeout=timeout
+                ) as response:
+                    answer = await response.json(content_type=None)
+                    return response.status, answer
+            except (aiohttp.ClientError, TimeoutError):
+                self._rotate()
+                await asyncio.sleep(PAUSE_S)
+        raise TimeoutError(path)
+
+    def _rotate(self):
+        self._addresses.append(self._addresses.pop(0))
+
+
+async def _read_events(response, started_s):
+    text, restarts, first_s, name = '', 0, 0.0, ''
+    loop = asyncio.get_running_loop()
+    async for raw in response.content:
+        line = raw.decode().strip()
+        if line.startswith('event:'):
+            name = line.removeprefix('event:').strip()
+        if not line.startswith('data:'):
+            continue
+        data = json.loads(line.removeprefix('data:'))
+        if name == 'delta':
+            text = text[: data['offset']] + data['text']
+            first_s = first_s or loop.time() - started_s
+        elif name == 'restart':
+            text, restarts = '', restarts + 1
+        elif name == 'error':
+            return _refusal(data)
+        elif data['outcome'] != 'ok':
+            return _refusal(data)
+        else:
+            if text != data['text']:
+                raise AssertionError('the parts differ from the whole')
+            return Answer(text, 'ok', 'yes', None, restarts, first_s)
+    raise aiohttp.ClientPayloadError('no final event')
+
+
+def _refusal(body):
+    return Answer('', body['code'], body['ran'], body['retry_after_s'])
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that balsamdale meets."""
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,62 @@
+"""Runs one stand-in as a process of its own."""
+
+import asyncio
+import signal
+import typing
+
+from aiohttp import web
+import typer
+
+from standins import engine
+from standins import keyvalue
+from standins import plain
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+Port = typing.Annotated[int, typer.Option(help='Port on 127.0.0.1.')]
+
+
+@app.command('keyvalue')
+def run_keyvalue(port: Port) -> None:
+    """Run the key-value service."""
+    asyncio.run(_serve(lambda: keyvalue.KeyValueServer().app(), port))
+
+
+@app.command('engine')
+def run_engine(
+    port: Port,
+    name: str = 'engine',
+    slots: int = 8,
+    cache_tokens: int = 100000,
+    honours_fencing: bool = False,
+) -> None:
+    """Run a model engine."""
+
+    def build():
+        server = engine.EngineServer(
+            name, slots, cache_tokens, honours_fencing
+        )
+        return server.app()
+
+    asyncio.run(_serve(build, port))
+
+
+@app.command('plain')
+def run_plain(port: Port, name: str = 'plain') -> None:
+    """Run a plain service."""
+    asyncio.run(_serve(lambda: plain.PlainServer(name).app(), port))
+
+
+async def _serve(build, port):
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    runner = web.AppRunner(build(), access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', port).start()
+    await stopping.wait()
+    await runner.cleanup()
+
+
+app()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of balsamdale; the modules mirror the package."""
--- /dev/null
+++ b/tests/test_keyvalue.py
@@ -0,0 +1,98 @@
+"""Tests of the key-value forms; both pass the same ones."""
+
+import asyncio
+
+from aiohttp import test_utils
+import pytest
+
+from balsamdale import errors
+from balsamdale import keyvalue
+from standins import keyvalue as standin
+
+
+def run_on(form, scenario):
+    """Run a scenario on one form of the service."""
+
+    async def run():
+        if form == 'memory':
+            await scenario(keyvalue.MemoryKeyValue())
+            return
+        server = standin.KeyValueServer()
+        async with test_utils.TestServer(server.app()) as site:
+            address = f'{site.host}:{site.port}'
+            store = keyvalue.EtcdKeyValue((address,))
+            try:
+                await scenario(store)
+            finally:
+                await store.close()
+
+    asyncio.run(run())
+
+
+@pytest.fixture(params=['memory', 'etcd'])
+def form(request):
+    return request.param
+
+
+def test_swap_compares_revisions(form):
+    async def scenario(store):
+        first = await store.swap('a/b', b'1', 0)
+        assert first > 0
+        assert await store.swap('a/b', b'2', 0) == 0
+        second = await store.swap('a/b', b'2', first)
+        assert second > first
+        pair = await store.get('a/b')
+        assert (pair.value, pair.revision) == (b'2', second)
+        assert await store.get('a/c') is None
+
+    run_on(form, scenario)
+
+
+def test_scan_returns_a_prefix(form):
+    async def scenario(store):
+        for key in ('a/2', 'a/1', 'b/1'):
+            await store.swap(key, key.encode(), 0)
+        pairs, revision = await store.scan('a/')
+        assert [pair.key for pair in pairs] == ['a/1', 'a/2']
+        assert revision >= 3
+
+    run_on(form, scenario)
+
+
+def test_watch_yields_writes_from_a_revision(form):
+    async def scenario(store):
+        revision = await store.swap('a/1', b'1', 0)
+        watch = store.watch('a/', revision)
+        assert (await anext(watch)).value == b'1'
+        await store.swap('b/1', b'x', 0)
+        await store.swap('a/1', b'2', revision)
+        assert (await anext(watch)).value == b'2'
+        await watch.aclose()
+
+    run_on(form, scenario)
+
+
+def test_a_lost_answer_says_that_the_write_may_be_applied():
+    async def run():
+        server = standin.KeyValueServer()
+        async with test_utils.TestServer(server.app()) as site:
+            store = keyvalue.EtcdKeyValue((f'{site.host}:{site.port}',))
+            server.switches.lose_answers = 1
+            with pytest.raises(errors.KeyValueUnavailable) as caught:
+                await store.swap('a', b'1', 0)
+            assert caught.value.maybe_applied
+            assert (await store.get('a')).value == b'1'
+            await store.close()
+
+    asyncio.run(run())
+
+
+def test_a_refused_connection_says_that_nothing_was_applied():
+    async def run():
+        store = keyvalue.EtcdKeyValue(('127.0.0.1:1',))
+        with pytest.raises(errors.KeyValueUnavailable) as caught:
+            await store.swap('a', b'1', 0)
+        assert not caught.value.maybe_applied
+        await store.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,114 @@
+"""Tests of links; the memory and the ZeroMQ form pass the same ones."""
+
+import asyncio
+import contextlib
+
+import pytest
+import zmq.auth
+
+from balsamdale import errors
+from balsamdale import link
+from balsamdale import messages
+from harness import fleet
+
+
+@contextlib.asynccontextmanager
+async def pair(form, tmp_path):
+    """Open two links that know each other."""
+    if form == 'memory':
+        network = link.MemoryNetwork()
+        yield (
+            link.MemoryLinks('a', network),
+            link.MemoryLinks('b', network),
+        )
+        return
+    _, path = zmq.auth.create_certificates(tmp_path, 'test')
+    keys = link.KeyPair.load(path)
+    addresses = [f'127.0.0.1:{port}' for port in fleet.free_ports(2)]
+    first = link.ZeroMQLinks('a', addresses[0], keys)
+    second = link.ZeroMQLinks('b', addresses[1], keys)
+    first.set_peer('b', addresses[1])
+    second.set_peer('a', addresses[0])
+    try:
+        yield first, second
+    finally:
+        await first.close()
+        await second.close()
+
+
+@pytest.fixture(params=['memory', 'zeromq'])
+def form(request):
+    return request.param
+
+
+async def _count(_sender, message):
+    for offset in range(message.turn):
+        yield messages.AnswerDelta(offset, 'x')
+
+
+def test_a_stream_yields_every_reply_in_order(form, tmp_path):
+    async def run():
+        async with pair(form, tmp_path) as (first, second):
+            second.serve(messages.FetchTurn, _count)
+            replies = first.stream('b', messages.FetchTurn('p', 5))
+            assert [reply.offset async for reply in replies] == [*range(5)]
+
+    asyncio.run(run())
+
+
+def test_a_failing_handler_is_a_remote_error(form, tmp_path):
+    async def broken(_sender, _message):
+        raise errors.OutOfOrder('no')
+        yield
+
+    async def run():
+        async with pair(form, tmp_path) as (first, second):
+            second.serve(messages.FetchTurn, broken)
+            with pytest.raises(errors.RemoteError):
+                await first.request('b', messages.FetchTurn('p', 1))
+
+    asyncio.run(run())
+
+
+def test_a_missing_peer_is_a_timeout(form, tmp_path):
+    async def run():
+        async with pair(form, tmp_path) as (first, _):
+            first.set_peer('c', '127.0.0.1:1')
+            with pytest.raises(errors.LinkTimeout):
+                await first.request('c', messages.FetchTurn('p', 1), 0.2)
+
+    asyncio.run(run())
+
+
+def test_a_slow_reply_outlasts_the_silence_limit(form, tmp_path):
+    async def slow(_sender, _message):
+        await asyncio.sleep(link.SILENCE_S * 1.3)
+        yield messages.Ok()
+
+    async def run():
+        async with pair(form, tmp_path) as (first, second):
+            second.serve(messages.FetchTurn, slow)
+            reply = await first.request('b', messages.FetchTurn('p', 1), 9)
+            assert reply == messages.Ok()
+
+    asyncio.run(run())
+
+
+def test_a_peer_with_another_key_gets_no_answer(tmp_path):
+    async def run():
+        async with pair('zeromq', tmp_path) as (first, second):
+            second.serve(messages.FetchTurn, _count)
+            (tmp_path / 'other').mkdir()
+            _, path = zmq.auth.create_certificates(tmp_path / 'other', 'x')
+            foreign = link.KeyPair.load(path)
+            stranger = link.ZeroMQLinks(
+                'c',
+                f'127.0.0.1:{fleet.free_ports(1)[0]}',
+                link.KeyPair(foreign.public, foreign.secret),
+            )
+            stranger.set_peer('b', first._addresses['b'])
+            with pytest.raises(errors.LinkTimeout):
+                await stranger.request('b', messages.FetchTurn('p', 1), 0.5)
+            await stranger.close()
+
+    asyncio.run(run())
