--- a/balsamdale/backend.py
+++ b/balsamdale/backend.py
@@ -22,11 +22,12 @@
     'HttpBackends',
     'Load',
     'TextDelta',
+    'chat_body',
 ]
 
 CONNECT_TIMEOUT_S = 1.0
 SILENCE_S = 2.0
-RESUME_LIMIT = 5
+RESUME_LIMIT = 60
 CONTROL_TIMEOUT_S = 1.5
 
 
@@ -114,7 +115,7 @@
         session: str,
     ) -> collections_abc.AsyncIterator[object]:
         stream = _Stream(server.name)
-        body = _chat_body(model, call, session)
+        body = chat_body(model, call, session)
         url = f'http://{server.address}/v1/chat/completions'
         headers = {'X-Request-Id': request_id}
         timeout = aiohttp.ClientTimeout(
@@ -197,30 +198,36 @@
         Silence does not mean that the engine died: the stream is asked for
         over a fresh connection first.
         """
-        for _ in range(RESUME_LIMIT):
-            url = f'http://{server.address}/v1/streams/{request_id}'
-            timeout = aiohttp.ClientTimeout(
-                total=None, connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_S
-            )
+        idle = 0
+        while idle < RESUME_LIMIT:
+            before = stream.chunks
             try:
-                async with self._client().get(
-                    url,
-                    params={'after': str(stream.chunks)},
-                    timeout=timeout,
-                    headers={'Connection': 'close'},
-                ) as response:
-                    if response.status == 404:
-                        raise _crashed(server.name)
-                    _check_status(server.name, response.status)
-                    async for delta in stream.feed(response.content):
-                        yield delta
+                async for delta in self._reopen(server, request_id, stream):
+                    yield delta
                 return
             except aiohttp.ClientConnectorError as error:
                 raise _crashed(server.name) from error
             except (aiohttp.ClientError, TimeoutError):
-                continue
+                idle = 0 if stream.chunks > before else idle + 1
         raise errors.BackendFailed(server.name, 'unknown', 'silent stream')
 
+    async def _reopen(self, server, request_id, stream):
+        url = f'http://{server.address}/v1/streams/{request_id}'
+        timeout = aiohttp.ClientTimeout(
+            total=None, connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_S
+        )
+        async with self._client().get(
+            url,
+            params={'after': str(stream.chunks)},
+            timeout=timeout,
+            headers={'Connection': 'close'},
+        ) as response:
+            if response.status == 404:
+                raise _crashed(server.name)
+            _check_status(server.name, response.status)
+            async for delta in stream.feed(response.content):
+                yield delta
+
 
 class _Stream:
     """Reads server-sent events of a chat completion."""
@@ -280,7 +287,8 @@
         )
 
 
-def _chat_body(model, call, session):
+def chat_body(model: str, call: program.CallEngine, session: str) -> dict:
+    """Return the body of a chat completion request."""
     return {
         'model': model,
         'messages': list(call.messages),
--- a/balsamdale/daemon.py
+++ b/balsamdale/daemon.py
@@ -3,13 +3,19 @@
 import asyncio
 import signal
 import sys
+import time
 import typing
 
 from absl import logging
 import typer
 
+from balsamdale import backend
+from balsamdale import entry
 from balsamdale import errors
 from balsamdale import instance
+from balsamdale import journal
+from balsamdale import keyvalue
+from balsamdale import link
 from balsamdale import settings
 
 __all__ = ['main']
@@ -43,10 +49,26 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    running = instance.Instance(given)
+    running = instance.Instance(given, _parts(given))
+    front = entry.Entry(running)
+    await front.listen()
     await running.start()
     await stopping.wait()
-    await running.stop()
+    await running.leave()
+    await front.close()
+    await running.close()
+
+
+def _parts(given):
+    keys = link.KeyPair.load(given.key_file) if given.key_file else None
+    folder = given.data_folder
+    return instance.Parts(
+        links=link.ZeroMQLinks(given.instance_id, given.link_address, keys),
+        store=keyvalue.EtcdKeyValue(given.key_value_addresses),
+        backends=backend.HttpBackends(),
+        journal=journal.DiskJournal(folder) if folder else None,
+        clock=time.time,
+    )
 
 
 def main() -> None:
--- a/balsamdale/desk.py
+++ b/balsamdale/desk.py
@@ -89,6 +89,7 @@
             yield reply
 
     async def _run_view(self, message):
+        await self._owned.confirm(placement.shard_of(message.program_id))
         yield self._view(self._owner.find(message.program_id))
 
     async def _end(self, _sender, message):
@@ -117,7 +118,7 @@
             if self.is_leaving and not self._serves(number):
                 raise errors.NotOwner(number, '')
             await self._owned.open(number)
-            async for reply in replies:
+            async for reply in self._confirmed(number, replies):
                 yield reply
         except errors.NotOwner as error:
             yield messages.NotOwnerReply(number, error.owner_id)
@@ -126,16 +127,20 @@
                 'platform_unavailable', 503, str(error), 'no', 2.0
             )
         except errors.Refused as refused:
-            yield messages.Refusal(
-                refused.code,
-                refused.status,
-                refused.detail,
-                refused.ran,
-                refused.retry_after_s,
-            )
+            yield _refusal(refused)
         finally:
             await replies.aclose()
 
+    async def _confirmed(self, number, replies):
+        """Confirm the ownership before a refusal claims "not run"."""
+        try:
+            async for reply in replies:
+                yield reply
+        except errors.Refused as refused:
+            if refused.ran == 'no':
+                await self._owned.confirm(number)
+            raise
+
     def _serves(self, number):
         return any(held.number == number for held in self._owned.serving)
 
@@ -174,6 +179,16 @@
         )
 
 
+def _refusal(refused):
+    return messages.Refusal(
+        refused.code,
+        refused.status,
+        refused.detail,
+        refused.ran,
+        refused.retry_after_s,
+    )
+
+
 def _turn_view(turn: program.Turn) -> messages.TurnView:
     ready = turn.answer
     return messages.TurnView(
--- a/balsamdale/dispatch.py
+++ b/balsamdale/dispatch.py
@@ -268,6 +268,8 @@
     def _admit(self, waiting, now_s):
         """Return the programs to park for a request; None is no room."""
         request = waiting.request
+        if request.suspect and self._runs_suspect():
+            return None
         if not self.policy.gate or request.program_id in self._open:
             return []
         is_child = '/' in request.program_id
@@ -281,6 +283,13 @@
             return None
         return self._parkable(waiting, needed - room, now_s)
 
+    def _runs_suspect(self):
+        """Tell whether a request runs that was in flight at a crash.
+
+        Only one at a time: at a second crash the guilty one is then known.
+        """
+        return any(r.request.suspect for r in self._running.values())
+
     def _room(self, is_short):
         """Return the tokens that a program of one kind may still take."""
         cache_tokens = self.server.cache_tokens
--- a/balsamdale/entry.py
+++ b/balsamdale/entry.py
@@ -3,33 +3,25 @@
 Any instance takes any call and forwards it to the program's owner.
 """
 
-import asyncio
 from collections import abc as collections_abc
 import dataclasses
 import json
-import random
 
 from aiohttp import web
 import msgspec
 
-from balsamdale import configuration
 from balsamdale import errors
-from balsamdale import link
-from balsamdale import membership
+from balsamdale import instance
 from balsamdale import messages
 from balsamdale import owner
-from balsamdale import ownership
 from balsamdale import placement
 from balsamdale import program
-from balsamdale import retry
 
 __all__ = ['Entry']
 
 ENTRY_TTL_S = 30
 ENTRY_COUNT = 3
-FORWARD_TRIES = 30
 NAME_LENGTH = 128
-PLATFORM_UNAVAILABLE = 'platform_unavailable'
 
 
 class CreateBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -50,28 +42,31 @@
     """The HTTP side of one instance.
 
     Args:
-        links: connections to program owners.
-        owned: knows the owners of shards.
-        members: the live instances.
-        relay: the declaration in force.
-        generator: source of random choices.
+        running: the instance behind it.
     """
 
-    def __init__(
-        self,
-        links: link.Links,
-        owned: ownership.Ownership,
-        members: membership.Membership,
-        relay: configuration.Relay,
-        generator: random.Random,
-    ):
-        self._links = links
-        self._owned = owned
-        self._members = members
-        self._relay = relay
-        self._generator = generator
-        self.in_flight = 0
-        self.served = 0
+    def __init__(self, running: instance.Instance):
+        self._instance = running
+        self._forwarder = running.forwarder
+        self._owned = running.owned
+        self._members = running.members
+        self._relay = running.relay
+        self._runner: web.AppRunner | None = None
+
+    async def listen(self) -> None:
+        """Listen on the instance's entry address."""
+        app = web.Application()
+        app.add_routes(self.routes())
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        address = self._instance.settings.entry_address
+        host, _, port = address.rpartition(':')
+        site = web.TCPSite(self._runner, host.strip('[]'), int(port))
+        await site.start()
+
+    async def close(self) -> None:
+        """Stop listening once open requests are answered."""
+        await self._runner.cleanup()
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes for callers."""
@@ -87,21 +82,34 @@
             web.post(
                 '/v1/services/{name}/requests', self._guarded(self._request)
             ),
+            web.get('/healthz', self._healthz),
+            web.get('/readyz', self._readyz),
+            web.get('/metrics', self._metrics),
         ]
 
     def _guarded(self, handler):
         async def guarded(request):
-            self.in_flight += 1
-            try:
-                return await handler(request)
-            except errors.Refused as refused:
-                return _problem(refused)
-            finally:
-                self.in_flight -= 1
-                self.served += 1
+            with self._forwarder.call():
+                try:
+                    return await handler(request)
+                except errors.Refused as refused:
+                    return _problem(refused)
 
         return guarded
 
+    async def _healthz(self, _request):
+        name = self._instance.settings.instance_id
+        return web.json_response({'instance': name})
+
+    async def _readyz(self, _request):
+        is_ready = self._relay.is_ready and not self._instance.desk.is_leaving
+        status = 200 if is_ready else 503
+        return web.json_response({'ready': is_ready}, status=status)
+
+    async def _metrics(self, _request):
+        body = self._instance.metrics.text()
+        return web.Response(body=body, content_type='text/plain')
+
     async def _entry(self, request):
         """Tell a caller which addresses to use, in order."""
         caller = request.headers.get('X-Caller', request.remote or '')
@@ -131,22 +139,26 @@
             body.budget_tokens,
             body.deadline_s,
         )
-        await self._ask(message.program_id, message)
+        await self._forwarder.ask(message.program_id, message)
         return web.json_response({'program': message.program_id}, status=201)
 
     async def _view(self, request):
         program_id = request.match_info['id']
-        view = await self._ask(program_id, messages.FetchProgram(program_id))
+        view = await self._forwarder.ask(
+            program_id, messages.FetchProgram(program_id)
+        )
         if view.caller != _caller(request):
             raise _wrong_caller()
         return web.json_response(dataclasses.asdict(view))
 
     async def _end(self, request):
         program_id = request.match_info['id']
-        view = await self._ask(program_id, messages.FetchProgram(program_id))
+        view = await self._forwarder.ask(
+            program_id, messages.FetchProgram(program_id)
+        )
         if view.caller != _caller(request):
             raise _wrong_caller()
-        await self._ask(program_id, messages.EndProgram(program_id))
+        await self._forwarder.ask(program_id, messages.EndProgram(program_id))
         return web.json_response({'program': program_id, 'ended': True})
 
     async def _submit(self, request):
@@ -158,19 +170,21 @@
             digest=program.digest_of(body.text),
             text=body.text,
         )
-        events = self._forward(message.program_id, message)
+        events = self._forwarder.forward(message.program_id, message)
         return await self._answer(request, events)
 
     async def _turn(self, request):
         program_id = request.match_info['id']
-        view = await self._ask(program_id, messages.FetchProgram(program_id))
+        view = await self._forwarder.ask(
+            program_id, messages.FetchProgram(program_id)
+        )
         if view.caller != _caller(request):
             raise _wrong_caller()
         number = request.match_info['turn']
         if not number.isdigit():
             raise errors.Refused('unknown_turn', 404, 'no such turn')
         message = messages.FetchTurn(program_id, int(number))
-        events = self._forward(program_id, message)
+        events = self._forwarder.forward(program_id, message)
         return await self._answer(request, events)
 
     async def _request(self, request):
@@ -184,56 +198,9 @@
             text=text,
         )
         program_id = owner.request_program_id(message)
-        events = self._forward(program_id, message)
+        events = self._forwarder.forward(program_id, message)
         return await self._answer(request, events)
 
-    async def _ask(self, program_id, message):
-        async for reply in self._forward(program_id, message):
-            return reply
-
-    async def _forward(self, program_id, message):
-        """Send a message to the program's owner, whoever that becomes.
-
-        Repeating it is safe: an owner recognises what it has done. The
-        offset of an answer goes on where the stream broke.
-        """
-        number = placement.shard_of(program_id)
-        may_have_run = False
-        for attempt in range(1, FORWARD_TRIES + 1):
-            try:
-                owner_id = await self._owned.find(number)
-                async for reply in self._links.stream(owner_id, message):
-                    if isinstance(reply, messages.NotOwnerReply):
-                        self._note_owner(reply)
-                        break
-                    if isinstance(reply, messages.Refusal):
-                        raise _refused(reply, may_have_run)
-                    message = _advance(message, reply)
-                    yield reply
-                    if not isinstance(
-                        reply,
-                        (messages.AnswerDelta, messages.AnswerRestarted),
-                    ):
-                        return
-            except errors.LinkError:
-                may_have_run = True
-            except errors.KeyValueUnavailable as error:
-                ran = 'unknown' if may_have_run else 'no'
-                raise errors.Refused(
-                    PLATFORM_UNAVAILABLE, 503, str(error), ran, 2.0
-                ) from error
-            await asyncio.sleep(retry.delay_s(attempt, self._generator))
-        raise errors.Refused(
-            'owner_unreachable', 503, 'no owner answers', 'unknown', 2.0
-        )
-
-    def _note_owner(self, reply):
-        if reply.owner_id:
-            known = self._owned.owners().get(reply.shard, (0, ''))
-            self._owned.learn(reply.shard, known[0], reply.owner_id)
-        else:
-            self._owned.unlearn(reply.shard)
-
     async def _answer(self, request, events):
         if 'text/event-stream' in request.headers.get('Accept', ''):
             return await self._stream(request, events)
@@ -282,34 +249,6 @@
             raise errors.Refused('bad_body', 422, str(error)) from error
 
 
-def _advance(message, reply):
-    """Let a repeated message go on behind what was delivered."""
-    if not isinstance(message, (messages.SubmitTurn, messages.FetchTurn)):
-        return message
-    if isinstance(reply, messages.AnswerRestarted):
-        return dataclasses.replace(message, offset=0)
-    if isinstance(reply, messages.AnswerDelta):
-        offset = reply.offset + len(reply.text)
-        return dataclasses.replace(message, offset=offset)
-    return message
-
-
-def _refused(reply, may_have_run):
-    """Turn a reply into an error.
-
-    An instance that could not read the journal does not know what an earlier
-    owner did with the same request.
-    """
-    doubtful = may_have_run and reply.code == PLATFORM_UNAVAILABLE
-    return errors.Refused(
-        reply.code,
-        reply.status,
-        reply.detail,
-        'unknown' if doubtful else reply.ran,
-        reply.retry_after_s,
-    )
-
-
 def _wrong_caller():
     return errors.Refused(
         'wrong_caller', 403, 'the program belongs to another caller'
--- a/balsamdale/grant.py
+++ b/balsamdale/grant.py
@@ -204,6 +204,7 @@
         attained_tokens: service that the program has had so far.
         prompt_tokens: expected prompt.
         answer_tokens: expected answer.
+        suspect: whether a server crashed with the request in flight.
     """
 
     service: str
@@ -214,6 +215,7 @@
     attained_tokens: int
     prompt_tokens: int
     answer_tokens: int
+    suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -341,6 +343,7 @@
             prompt_tokens=demand.prompt_tokens,
             answer_tokens=demand.answer_tokens,
             wait_s=self.WAIT_S,
+            suspect=demand.suspect,
         )
         try:
             reply = await self._send(server, message, self.WAIT_S + 1)
--- a/balsamdale/instance.py
+++ b/balsamdale/instance.py
@@ -1,18 +1,18 @@
 """Access to one running instance: every role, joined together."""
 
 import asyncio
+from collections import abc as collections_abc
 import contextlib
+import dataclasses
 import random
-import time
 
 from absl import logging
-from aiohttp import web
 
 from balsamdale import backend
 from balsamdale import configuration
 from balsamdale import desk
-from balsamdale import entry
 from balsamdale import errors
+from balsamdale import forward
 from balsamdale import grant
 from balsamdale import heartbeat
 from balsamdale import journal
@@ -27,12 +27,32 @@
 from balsamdale import replica
 from balsamdale import settings
 
-__all__ = ['Instance']
+__all__ = ['Instance', 'Parts']
 
 DRAIN_S = 60.0
 DRAIN_POLL_S = 0.05
 REPAIR_INTERVAL_S = 1.0
 SWEEP_DELAY_S = 2.0
+CRASH_WINDOW_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """An instance's access to the outside.
+
+    Attributes:
+        links: connections to other instances.
+        store: the platform's key-value service.
+        backends: requests to backend servers.
+        journal: the journal on this instance's disk, or None.
+        clock: returns the present time in seconds since the Unix epoch.
+    """
+
+    links: link.Links
+    store: keyvalue.KeyValue
+    backends: backend.Backends
+    journal: journal.Journal | None
+    clock: collections_abc.Callable[[], float]
 
 
 class Instance:
@@ -40,28 +60,26 @@
 
     Args:
         given: the settings of this instance.
+        parts: its access to the outside.
     """
 
-    def __init__(self, given: settings.Settings):
+    def __init__(self, given: settings.Settings, parts: Parts):
         self.settings = given
+        self.parts = parts
+        self.links = parts.links
+        self._store = parts.store
+        self._backends = parts.backends
+        self._clock = parts.clock
         self._generator = random.Random(given.instance_id)
         self._tasks: set[asyncio.Task] = set()
-        self._runner: web.AppRunner | None = None
         self._background: list[asyncio.Task] = []
-        self._store = keyvalue.EtcdKeyValue(given.key_value_addresses)
-        self._backends = backend.HttpBackends()
         self.quarantine = quarantine.Quarantine()
         self._build()
 
     def _build(self):
         given = self.settings
-        keys = link.KeyPair.load(given.key_file) if given.key_file else None
-        self.links = link.ZeroMQLinks(
-            given.instance_id, given.link_address, keys
-        )
-        self.journal = None
-        if given.data_folder:
-            self.journal = journal.DiskJournal(given.data_folder)
+        self.journal = self.parts.journal
+        if self.journal is not None:
             replica.Replica(self.journal, self.links)
         self.members = membership.Membership(
             membership.Instance(
@@ -70,7 +88,7 @@
                 given.entry_address,
                 given.link_address,
             ),
-            incarnation=int(time.time() * 1000),
+            incarnation=int(self._clock() * 1000),
             folder_id=self.journal.folder_id if self.journal else '',
             generator=self._generator,
         )
@@ -83,11 +101,11 @@
             self.members,
             self.relay,
             self._changed,
-            time.time,
+            self._clock,
         )
         self._build_owner()
-        self.entry = entry.Entry(
-            self.links, self.owned, self.members, self.relay, self._generator
+        self.forwarder = forward.Forwarder(
+            self.links, self.owned, self._generator
         )
         self._serve_messages()
         self._build_metrics()
@@ -98,13 +116,13 @@
             self.members,
             self._backends,
             self.relay.declared,
-            time.time,
+            self._clock,
         )
         grants = grant.Grants(
             self.links,
             self.members,
             self.relay.declared,
-            time.time,
+            self._clock,
             self._generator,
         )
         self.owner = owner.Owner(
@@ -112,7 +130,7 @@
                 backends=self._backends,
                 grants=grants,
                 declared=self.relay.declared,
-                clock=time.time,
+                clock=self._clock,
                 quarantine=self.quarantine,
                 report_crash=self._report_crash,
                 generator=self._generator,
@@ -132,6 +150,7 @@
         self.links.serve(messages.ReportCrash, self._on_crash)
         self.links.serve(messages.TakeOver, self._on_take_over)
         self.links.serve(messages.PullOwners, self._on_pull_owners)
+        self.links.serve(messages.PullCrashes, self._on_pull_crashes)
 
     def _build_metrics(self):
         self.metrics = metrics.Metrics()
@@ -139,7 +158,7 @@
             ('programs', 'Programs held', lambda: len(self.owner.programs)),
             ('turns_running', 'Turns that run', lambda: self.owner.busy),
             ('shards', 'Shards served', lambda: len(self.owned.serving)),
-            ('calls_served', 'Calls answered', lambda: self.entry.served),
+            ('calls_served', 'Calls answered', lambda: self.forwarder.served),
             (
                 'configuration_revision',
                 'Revision in force',
@@ -171,13 +190,13 @@
             asyncio.create_task(self.granter.run()),
             asyncio.create_task(self._run_repair()),
         ]
-        await self._listen()
         await self.relay.wait_ready()
+        await self._pull_crashes()
         await self._restore_owners()
         logging.info('instance: %s is ready', self.settings.instance_id)
 
-    async def stop(self) -> None:
-        """Stop gracefully: finish what is in flight, then hand over."""
+    async def leave(self) -> None:
+        """Prepare a planned stop: finish what is in flight, hand over."""
         logging.info('instance: leaving')
         self.desk.is_leaving = True
         self.heartbeat.perform(self.members.leave())
@@ -186,7 +205,9 @@
         await self.owned.hand_over()
         for number in numbers:
             await self._ask_take_over(number)
-        await self._runner.cleanup()
+
+    async def close(self) -> None:
+        """Stop all work where it stands."""
         for task in [*self._background, *self._tasks]:
             task.cancel()
         await self.owner.close()
@@ -198,28 +219,12 @@
             self.journal.close()
         logging.info('instance: stopped')
 
-    async def _listen(self):
-        app = web.Application()
-        app.add_routes(self.entry.routes())
-        app.add_routes(
-            [
-                web.get('/healthz', self._healthz),
-                web.get('/readyz', self._readyz),
-                web.get('/metrics', self._metrics),
-            ]
-        )
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, _, port = self.settings.entry_address.rpartition(':')
-        site = web.TCPSite(self._runner, host.strip('[]'), int(port))
-        await site.start()
-
     async def _drain(self):
         """Wait until no call, turn or owned queue is in use."""
-        end_s = time.monotonic() + DRAIN_S
-        while time.monotonic() < end_s:
+        end_s = self._clock() + DRAIN_S
+        while self._clock() < end_s:
             queued = sum(q.waiting + q.running for q in self.granter.queues())
-            if not self.owner.busy and not self.entry.in_flight and not queued:
+            if not self.owner.busy + self.forwarder.in_flight + queued:
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
@@ -243,10 +248,21 @@
                     self.owned.learn(row.shard, row.epoch, row.owner_id)
                 return
 
+    async def _pull_crashes(self):
+        """Learn from a peer which requests crashed backend servers."""
+        for peer_id in self.members.reachable():
+            with contextlib.suppress(errors.LinkError):
+                reply = await self.links.request(
+                    peer_id, messages.PullCrashes()
+                )
+                for row in reply.crashes:
+                    self.quarantine.report(row.digest, row.crash_id)
+                return
+
     async def _run_repair(self):
         while True:
             await asyncio.sleep(REPAIR_INTERVAL_S)
-            await self.owned.repair(time.time())
+            await self.owned.repair(self._clock())
 
     def _applied(self, revision):
         return
@@ -298,8 +314,9 @@
 
     def _report_crash(self, digest, server):
         """Count a crash here and on every other instance."""
-        self.quarantine.report(digest, server)
-        message = messages.ReportCrash(server, digest)
+        crash_id = f'{server}@{int(self._clock() / CRASH_WINDOW_S)}'
+        self.quarantine.report(digest, crash_id)
+        message = messages.ReportCrash(crash_id, digest)
         for peer_id in self.members.reachable():
             self._spawn(self._tell(peer_id, message))
 
@@ -308,28 +325,21 @@
             await self.links.request(peer_id, message)
 
     async def _on_crash(self, _sender, message):
-        self.quarantine.report(message.digest, message.server)
+        self.quarantine.report(message.digest, message.crash_id)
         yield messages.Ok()
 
+    async def _on_pull_crashes(self, _sender, _message):
+        rows = (
+            messages.ReportCrash(crash_id, digest)
+            for digest, crash_id in self.quarantine.reports()
+        )
+        yield messages.Crashes(tuple(rows))
+
     def _short_of_copies(self):
         return sum(
             held.copies() < ownership.COPIES for held in self.owned.serving
         )
 
-    async def _healthz(self, _request):
-        return web.json_response({'instance': self.settings.instance_id})
-
-    async def _readyz(self, _request):
-        is_ready = self.relay.is_ready and not self.desk.is_leaving
-        return web.json_response(
-            {'ready': is_ready}, status=200 if is_ready else 503
-        )
-
-    async def _metrics(self, _request):
-        return web.Response(
-            body=self.metrics.text(), content_type='text/plain'
-        )
-
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- a/balsamdale/journal.py
+++ b/balsamdale/journal.py
@@ -200,6 +200,10 @@
     def sync(self) -> None:
         """Make every change so far durable."""
 
+    def close(self) -> None:
+        """Sync and release the folder."""
+        self.sync()
+
     @abc.abstractmethod
     def _keep(self, stored: Fence | Stored | Dropped) -> None:
         """Write one change."""
@@ -273,7 +277,6 @@
             self._is_dirty = False
 
     def close(self) -> None:
-        """Sync and close the file."""
         self.sync()
         self._file.close()
 
--- a/balsamdale/keyvalue.py
+++ b/balsamdale/keyvalue.py
@@ -34,8 +34,13 @@
 
     Every method raises `KeyValueUnavailable` when the service does not
     answer; for a write the error says whether it may have been applied.
+
+    Attributes:
+        calls: calls made so far.
     """
 
+    calls = 0
+
     @abc.abstractmethod
     async def get(self, key: str) -> Pair | None:
         """Return one pair, or None where the key does not exist."""
@@ -136,7 +141,6 @@
     def __init__(self, addresses: tuple[str, ...]):
         self._addresses = addresses
         self._session: aiohttp.ClientSession | None = None
-        self.calls = 0
 
     async def get(self, key: str) -> Pair | None:
         answer = await self._call('/v3/kv/range', {'key': _wrap(key)}, False)
--- a/balsamdale/link.py
+++ b/balsamdale/link.py
@@ -145,25 +145,47 @@
     async def _stream_from(
         self, peer_id: str, message: object
     ) -> collections_abc.AsyncGenerator[object, None]:
-        network = self._network
-        if not network.is_open(self.instance_id, peer_id):
-            await self._fall_silent(peer_id, message)
-        peer = network.links[peer_id]
+        name = type(message).__name__
+        await self._check_open(self.instance_id, peer_id, peer_id, name)
+        peer = self._network.links[peer_id]
         copy = codec.decode(codec.encode(message))
+        replies = peer._handle(self.instance_id, copy)
         try:
-            async for reply in peer._handle(self.instance_id, copy):
-                if not network.is_open(peer_id, self.instance_id):
-                    await self._fall_silent(peer_id, message)
+            while True:
+                reply = await self._next(replies, peer_id, name)
+                await self._check_open(
+                    peer_id, self.instance_id, peer_id, name
+                )
                 yield codec.decode(codec.encode(reply))
+        except StopAsyncIteration:
+            return
         except errors.LinkError:
             raise
         except errors.BalsamdaleError as error:
             name = type(error).__name__
             raise errors.RemoteError(name, str(error)) from error
+        finally:
+            await replies.aclose()
 
-    async def _fall_silent(self, peer_id, message):
-        await asyncio.sleep(SILENCE_S)
-        raise errors.LinkTimeout(peer_id, type(message).__name__)
+    async def _next(self, replies, peer_id, name):
+        """Wait for a reply as long as the peer could send keepalives."""
+        pending = asyncio.ensure_future(anext(replies))
+        try:
+            while not pending.done():
+                await asyncio.wait({pending}, timeout=SILENCE_S)
+                is_open = self._network.is_open(peer_id, self.instance_id)
+                if not pending.done() and not is_open:
+                    raise errors.LinkTimeout(peer_id, name)
+            return pending.result()
+        finally:
+            if not pending.done():
+                pending.cancel()
+                await asyncio.wait({pending})
+
+    async def _check_open(self, sender_id, receiver_id, peer_id, name):
+        if not self._network.is_open(sender_id, receiver_id):
+            await asyncio.sleep(SILENCE_S)
+            raise errors.LinkTimeout(peer_id, name)
 
 
 class ZeroMQLinks(Links):
--- a/balsamdale/membership.py
+++ b/balsamdale/membership.py
@@ -119,12 +119,17 @@
         state = self._states.get(instance_id)
         return state.folder_id if state else ''
 
-    def usable(self) -> list[Instance]:
-        """Return instances that may take on work, sorted by id."""
+    def usable(self, leaving: bool = False) -> list[Instance]:
+        """Return instances that may take on work, sorted by id.
+
+        Args:
+            leaving: whether instances that are leaving count too.
+        """
+        wanted = ('alive', 'leaving') if leaving else ('alive',)
         return [
             self.instances[name]
             for name in sorted(self.instances)
-            if self.status(name) == 'alive'
+            if self.status(name) in wanted
         ]
 
     def reachable(self) -> list[str]:
--- a/balsamdale/messages.py
+++ b/balsamdale/messages.py
@@ -12,6 +12,7 @@
     'AppendEntries',
     'AppendReply',
     'Configuration',
+    'Crashes',
     'CreateProgram',
     'DropLog',
     'EndProgram',
@@ -33,6 +34,7 @@
     'ListPrograms',
     'ProgramList',
     'PullConfiguration',
+    'PullCrashes',
     'PullOwners',
     'Quote',
     'QuoteRequest',
@@ -393,6 +395,7 @@
         prompt_tokens: expected prompt.
         answer_tokens: expected answer.
         wait_s: how long the request may stay queued.
+        suspect: whether a server crashed with the request in flight.
     """
 
     server: str
@@ -404,6 +407,7 @@
     prompt_tokens: int
     answer_tokens: int
     wait_s: float
+    suspect: bool = False
 
 
 @codec.message
@@ -440,7 +444,19 @@
 
 @codec.message
 class ReportCrash:
-    """A backend server died with these requests in flight."""
+    """A backend server died with a request in flight."""
 
-    server: str
+    crash_id: str
     digest: str
+
+
+@codec.message
+class PullCrashes:
+    """Ask a peer for the crashes that it knows."""
+
+
+@codec.message
+class Crashes:
+    """Known crashes."""
+
+    crashes: tuple[ReportCrash, ...]
--- a/balsamdale/owner.py
+++ b/balsamdale/owner.py
@@ -34,6 +34,7 @@
 
 RELEASE_RETRY_S = 0.5
 BYTES_PER_TOKEN = 4
+COMMIT_TIMEOUT_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -145,7 +146,7 @@
             deadline_at_s=now_s + deadline_s if deadline_s else 0.0,
             created_at_s=now_s,
         )
-        await self._commit(
+        await self._commit_call(
             message.program_id, functools.partial(_create, created)
         )
 
@@ -158,7 +159,6 @@
             Refused: the program does not take the call; it did not run.
         """
         held = self._find(message.program_id, message.caller)
-        self._check_quarantine(message.digest)
         await self._commit(held.id, functools.partial(self._accept, message))
         return self._join(held.id, message.request_id)
 
@@ -176,7 +176,6 @@
             raise errors.Refused(
                 'unknown_service', 404, f'no service {message.service!r}'
             )
-        self._check_quarantine(message.digest)
         program_id = request_program_id(message)
         created = records.ProgramCreated(
             program_id=program_id,
@@ -187,7 +186,7 @@
             deadline_at_s=0.0,
             created_at_s=self._around.clock(),
         )
-        await self._commit(
+        await self._commit_call(
             program_id, functools.partial(_create_request, created)
         )
         turn = messages.SubmitTurn(
@@ -259,6 +258,7 @@
             )
         if turn is not None and not _may_repeat(turn):
             return []
+        self._check_quarantine(message.digest)
         if held.ended is not None:
             raise errors.Refused(
                 'program_ended', 409, 'the program takes no further calls'
@@ -300,6 +300,25 @@
             self._answers[key] = stream
         return stream
 
+    async def _commit_call(self, program_id, decide):
+        """Commit on behalf of a caller, who gets an answer in time.
+
+        Raises:
+            Refused: too few journals answer. It did not run if that was
+                known beforehand; else the record may still become durable.
+        """
+        if not decide(self.programs.get(program_id)):
+            return
+        number = placement.shard_of(program_id)
+        if not self.owned.is_writable(number):
+            is_pending = self._locks[program_id].locked()
+            raise _unwritable('unknown' if is_pending else 'no')
+        try:
+            async with asyncio.timeout(COMMIT_TIMEOUT_S):
+                await self._commit(program_id, decide)
+        except TimeoutError as error:
+            raise _unwritable('unknown') from error
+
     async def _commit(self, program_id, decide):
         """Decide on records, make them durable, then apply them.
 
@@ -637,6 +656,7 @@
             attained_tokens=held.spent_tokens,
             prompt_tokens=_expected_tokens(action) if is_engine else 0,
             answer_tokens=action.answer_tokens if is_engine else 0,
+            suspect=self._around.quarantine.suspects(turn.accepted.digest),
         )
 
     def _deadline_at_s(self, held, turn):
@@ -690,6 +710,16 @@
         await self._record(records.CacheReleased(held.id, name))
 
 
+def _unwritable(ran):
+    return errors.Refused(
+        'journal_unavailable',
+        503,
+        'too few journals',
+        ran,
+        ownership.JOURNAL_RETRY_S,
+    )
+
+
 def _retrieve(task):
     """Mark a failure as seen where nobody waits any more."""
     if not task.cancelled():
--- a/balsamdale/ownership.py
+++ b/balsamdale/ownership.py
@@ -20,12 +20,13 @@
 from balsamdale import placement
 from balsamdale import shard
 
-__all__ = ['Ownership']
+__all__ = ['JOURNAL_RETRY_S', 'Ownership']
 
 OPEN_TIMEOUT_S = 6.0
 RETRY_S = 0.2
 REPLACE_AFTER_S = 5.0
 COPIES = 3
+JOURNAL_RETRY_S = 3.0
 
 
 class Ownership:
@@ -144,6 +145,15 @@
         except TimeoutError as error:
             raise errors.KeyValueUnavailable('no takeover', False) from error
 
+    def is_writable(self, number: int) -> bool:
+        """Tell whether enough journals of a served shard seem reachable."""
+        held = self._shards.get(number)
+        if held is None or not held.serves:
+            return False
+        present = {folder.folder_id for folder in self.folders(leaving=True)}
+        reachable = [f for f in held.answering() if f.folder_id in present]
+        return len(reachable) >= shard.ack_count(len(held.placed.folders))
+
     async def append(
         self, number: int, program_id: str, bodies: tuple[bytes, ...]
     ) -> None:
@@ -162,6 +172,44 @@
         self._perform(held, effects)
         await future
 
+    async def confirm(self, number: int) -> None:
+        """Make sure that no other owner has opened a shard.
+
+        Journals that still accept this epoch are enough to stop a takeover.
+        What an owner says from its state alone, such as that a program does
+        not exist, is true only after that.
+
+        Raises:
+            NotOwner: the shard was lost.
+            Refused: too few journals answer.
+        """
+        held = self._shards.get(number)
+        if held is None or not held.serves:
+            raise errors.NotOwner(number, self.hint(number))
+        folders = held.placed.folders
+        accepted = await asyncio.gather(
+            *(self._accepts(held, folder) for folder in folders)
+        )
+        if self._shards.get(number) is not held:
+            raise errors.NotOwner(number, self.hint(number))
+        if sum(accepted) < shard.ack_count(len(folders)):
+            raise errors.Refused(
+                'journal_unavailable',
+                503,
+                'too few journals',
+                'unknown',
+                JOURNAL_RETRY_S,
+            )
+
+    async def _accepts(self, held, folder):
+        message = messages.AppendEntries(
+            folder.folder_id, held.number, held.epoch, ()
+        )
+        reply = await self._ask(folder, message)
+        if reply is not None and reply.outcome == 'stale':
+            self._perform(held, held.stale(reply.length))
+        return reply is not None and reply.outcome == 'ok'
+
     async def hand_over(self) -> None:
         """Give every shard up, for a planned stop."""
         for held in self.serving:
@@ -192,11 +240,15 @@
                     )
                     break
 
-    def folders(self) -> list[placement.DataFolder]:
-        """Return the data folders of live instances."""
+    def folders(self, leaving: bool = False) -> list[placement.DataFolder]:
+        """Return the data folders of live instances.
+
+        Args:
+            leaving: whether instances that are leaving count too.
+        """
         return [
             placement.DataFolder(folder_id, i.instance_id, i.failure_domain)
-            for i in self._members.usable()
+            for i in self._members.usable(leaving)
             if (folder_id := self._members.folder_id(i.instance_id))
         ]
 
@@ -259,7 +311,7 @@
         return free[0] if free else None
 
     def _note_missing(self, now_s):
-        present = {f.folder_id for f in self.folders()}
+        present = {f.folder_id for f in self.folders(leaving=True)}
         for held in self.serving:
             for folder in held.placed.folders:
                 if folder.folder_id in present:
--- a/balsamdale/quarantine.py
+++ b/balsamdale/quarantine.py
@@ -1,6 +1,7 @@
 """Access to the quarantine of requests that crash backend servers."""
 
 import collections
+from collections import abc as collections_abc
 
 __all__ = ['Quarantine']
 
@@ -29,6 +30,16 @@
             self._crashes.popitem(last=False)
         return self.holds(digest)
 
+    def suspects(self, digest: str) -> bool:
+        """Tell whether a server crashed with a request in flight."""
+        return digest in self._crashes
+
+    def reports(self) -> collections_abc.Iterator[tuple[str, str]]:
+        """Yield each digest with each of its crashes."""
+        for digest, crash_ids in self._crashes.items():
+            for crash_id in crash_ids:
+                yield digest, crash_id
+
     def holds(self, digest: str) -> bool:
         """Tell whether a request may not run again."""
         return len(self._crashes.get(digest, ())) >= CRASH_LIMIT
--- a/balsamdale/shard.py
+++ b/balsamdale/shard.py
@@ -25,6 +25,7 @@
     'Shard',
     'SwapKey',
     'ack_count',
+    'best_log',
     'seal_count',
 ]
 
@@ -126,6 +127,19 @@
     return folders - ack_count(folders) + 1
 
 
+def best_log(sealed: dict[str, journal.LogState]) -> str:
+    """Return the folder whose log a takeover goes on with.
+
+    The last record's epoch counts first: a longer log may end in records
+    that an older owner wrote and nobody acknowledged.
+    """
+
+    def rank(folder_id):
+        return (sealed[folder_id].last_epoch, sealed[folder_id].length)
+
+    return max(sealed, key=rank)
+
+
 class Shard:
     """The owner's side of one shard.
 
@@ -149,6 +163,7 @@
         self._next: dict[str, int] = {}
         self._busy: set[str] = set()
         self._swap_sent = False
+        self._silent: set[str] = set()
         MACHINE.add_model(self)
 
     def detach(self) -> None:
@@ -230,13 +245,7 @@
         self._sealed[folder_id] = state
         if len(self._sealed) < seal_count(len(self.placed.folders)):
             return []
-        best_id = max(
-            self._sealed,
-            key=lambda key: (
-                self._sealed[key].last_epoch,
-                self._sealed[key].length,
-            ),
-        )
+        best_id = best_log(self._sealed)
         self._source = self._folder(best_id)
         self._target_length = self._sealed[best_id].length
         if self._target_length == 0:
@@ -279,6 +288,7 @@
         if self.state not in ('bringing', 'serving'):
             return []
         self._busy.discard(folder_id)
+        self._silent.discard(folder_id)
         if folder_id not in self._match:
             return []
         self._match[folder_id] = max(self._match[folder_id], length)
@@ -296,6 +306,7 @@
     def unanswered(self, folder_id: str) -> list:
         """Repeat an append without an answer."""
         self._busy.discard(folder_id)
+        self._silent.add(folder_id)
         if self.state == 'lost':
             return []
         return self._send(folder_id)
@@ -330,6 +341,14 @@
         self.lose()
         return [SwapKey(freed, self._revision)]
 
+    def answering(self) -> list[placement.DataFolder]:
+        """Return the folders whose last append was answered."""
+        return [
+            folder
+            for folder in self.placed.folders
+            if folder.folder_id not in self._silent
+        ]
+
     def copies(self) -> int:
         """Return how many folders hold every entry."""
         return sum(
@@ -347,12 +366,15 @@
         return next(f for f in folders if f.folder_id == folder_id)
 
     def _bring(self):
+        self._start_bringing()
+        start = records.EpochStarted(self.instance_id, self.epoch)
+        return self.append('', (codec.encode(start),))
+
+    def _start_bringing(self):
         self.begin_bring()
         for folder in self.placed.folders:
             self._match[folder.folder_id] = 0
             self._next[folder.folder_id] = self._agreed(folder.folder_id)
-        start = records.EpochStarted(self.instance_id, self.epoch)
-        return self.append('', (codec.encode(start),))
 
     def _agreed(self, folder_id):
         """Return how much of the log a sealed journal surely holds."""
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,294 @@
+"""Instances of the real code over small fakes, on a virtual clock."""
+
+import asyncio
+import collections
+import random
+import time
+
+from balsamdale import backend
+from balsamdale import configuration
+from balsamdale import errors
+from balsamdale import heartbeat
+from balsamdale import instance
+from balsamdale import journal
+from balsamdale import keyvalue
+from balsamdale import link
+from balsamdale import membership
+from balsamdale import messages
+from balsamdale import owner
+from balsamdale import program
+from balsamdale import records
+from balsamdale import settings
+from harness import fleet
+from standins import engine
+
+TOKEN_S = 0.01
+
+
+class FakeBackends(backend.Backends):
+    """Backend servers that record what they are asked to do."""
+
+    def __init__(self):
+        self.executions = collections.Counter()
+        self.prompts = []
+        self.cached = collections.defaultdict(dict)
+        self.used_tokens = collections.Counter()
+        self.running = collections.Counter()
+        self.peak = collections.Counter()
+        self.sent_at_s = collections.defaultdict(list)
+        self.crash_on = ''
+        self.crashes = []
+        self.release_failures = 0
+        self.hang = False
+
+    async def complete(self, server, model, call, request_id, session):
+        self._note(server.name)
+        prompt = engine.tokens(repr(call.messages))
+        self.prompts.append((session, call.messages))
+        self.used_tokens[session] += prompt
+        try:
+            if self.crash_on and self.crash_on in repr(call.messages):
+                self.crashes.append(server.name)
+                await asyncio.sleep(TOKEN_S)
+                raise errors.BackendFailed(
+                    server.name, 'unknown', 'crashed', True
+                )
+            body = backend.chat_body(model, call, session)
+            text, calls = engine.answer(body)
+            answer_tokens = 0
+            for word in text.split(' '):
+                await asyncio.sleep(TOKEN_S)
+                self.used_tokens[session] += 2
+                answer_tokens += 2
+                yield backend.TextDelta(word + ' ')
+            self.cached[server.name][session] = prompt
+            yield backend.Completion(
+                text=''.join(w + ' ' for w in text.split(' ')),
+                tool_calls=tuple(_call(row) for row in calls),
+                prompt_tokens=prompt,
+                answer_tokens=answer_tokens,
+                cached_tokens=0,
+            )
+        finally:
+            self.running[server.name] -= 1
+
+    async def invoke(self, server, call, request_id):
+        self._note(server.name)
+        try:
+            self.executions[call.name, request_id] += 1
+            await asyncio.sleep(5 * TOKEN_S)
+            if self.hang:
+                await asyncio.sleep(3600)
+            return 'done'
+        finally:
+            self.running[server.name] -= 1
+
+    async def release(self, server, session):
+        if self.release_failures > 0:
+            self.release_failures -= 1
+            raise errors.BackendFailed(server.name, 'unknown', 'no answer')
+        self.cached[server.name].pop(session, None)
+
+    async def cancel(self, server, request_id):
+        return
+
+    def sessions(self):
+        """Return the programs that any engine still caches."""
+        return {s for cached in self.cached.values() for s in cached}
+
+    def _note(self, name):
+        self.running[name] += 1
+        self.peak[name] = max(self.peak[name], self.running[name])
+        loop = asyncio.get_running_loop()
+        self.sent_at_s[name].append(loop.time())
+
+
+class WatchedJournal(journal.MemoryJournal):
+    """A journal that tells of each append, before and after it counts."""
+
+    def __init__(self, folder_id, watch):
+        super().__init__(folder_id)
+        self._watch = watch
+
+    def append(self, shard, epoch, entries):
+        last = entries[-1].sequence if entries else -1
+        fresh = last >= self.state(shard).length
+        if fresh:
+            self._watch('before', shard)
+        length = super().append(shard, epoch, entries)
+        if fresh:
+            self._watch('after', shard)
+        return length
+
+
+class Cluster:
+    """Instances that share a network, a key-value service and backends.
+
+    Args:
+        example: name of the declaration in the examples.
+        instances: instances in all.
+        disks: instances with a disk.
+        seed: seed of the callers' choices.
+    """
+
+    def __init__(self, example='pollenwacht', instances=5, disks=3, seed=1):
+        self.store = keyvalue.MemoryKeyValue()
+        self.network = link.MemoryNetwork()
+        self.backends = FakeBackends()
+        self.random = random.Random(seed)
+        self.running: dict[str, instance.Instance] = {}
+        self.on_append = lambda moment, shard: None
+        self.text = (fleet.EXAMPLES / f'{example}.toml').read_text()
+        self._made = 0
+        self.disks: dict[str, WatchedJournal] = {}
+        self._names = [f'entry-{i + 1}' for i in range(instances)]
+        for name in self._names[:disks]:
+            self.disks[name] = self.fresh_disk()
+
+    def fresh_disk(self) -> WatchedJournal:
+        """Return an empty disk."""
+        self._made += 1
+        folder_id = f'folder-{self._made}'
+        return WatchedJournal(folder_id, lambda *args: self.on_append(*args))
+
+    async def start(self) -> None:
+        """Start every instance."""
+        for name in self._names:
+            listed = heartbeat.instance_value(self._listing(name))
+            await self.store.swap(heartbeat.INSTANCES_PREFIX + name, listed, 0)
+        await self.accept(self.text)
+        await asyncio.gather(*(self.boot(name) for name in self._names))
+        await asyncio.sleep(4)
+
+    async def boot(self, name: str) -> None:
+        """Start one instance."""
+        place = self._listing(name)
+        given = settings.Settings(
+            name, place.failure_domain, place.entry_address, '', ('x',)
+        )
+        loop = asyncio.get_running_loop()
+        parts = instance.Parts(
+            links=link.MemoryLinks(name, self.network),
+            store=self.store,
+            backends=self.backends,
+            journal=self.disks.get(name),
+            clock=loop.time,
+        )
+        self.running[name] = instance.Instance(given, parts)
+        await self.running[name].start()
+
+    async def accept(self, text: str) -> object:
+        """Accept a declaration."""
+        _, revision = await configuration.fetch_head(self.store)
+        return await configuration.accept(
+            self.store, text, revision, 'test', 'test', time.time()
+        )
+
+    def crash(self, name: str) -> None:
+        """Kill an instance; its disk stays."""
+        gone = self.running.pop(name, None)
+        if gone is None:
+            return
+        self.network.links.pop(name, None)
+        task = asyncio.get_running_loop().create_task(gone.close())
+        gone.zombie = task
+
+    def cut(self, name: str) -> None:
+        """Cut an instance off; it goes on running."""
+        for other in self._names:
+            self.network.cuts |= {(name, other), (other, name)}
+        self.network.cuts.discard((name, name))
+
+    def heal(self) -> None:
+        """Mend every cut."""
+        self.network.cuts.clear()
+
+    def owner_of(self, shard: int) -> str:
+        """Return the instance that serves a shard, or an empty string."""
+        for name, running in self.running.items():
+            if any(s.number == shard for s in running.owned.serving):
+                return name
+        return ''
+
+    async def call(self, program_id, message, tries=60):
+        """Send a caller's message through any instance; return the end."""
+        for _ in range(tries):
+            name = self.random.choice(sorted(self.running))
+            try:
+                return await self._through(name, program_id, message)
+            except errors.LinkError:
+                await asyncio.sleep(0.2)
+            except errors.Refused as refused:
+                if refused.code not in TRANSIENT:
+                    raise
+                await asyncio.sleep(0.5)
+        raise TimeoutError(type(message).__name__)
+
+    async def _through(self, name, program_id, message):
+        """Send through one instance, as long as it lives."""
+        asking = asyncio.ensure_future(
+            self._read(self.running[name], program_id, message)
+        )
+        while True:
+            done, _ = await asyncio.wait({asking}, timeout=0.2)
+            if done:
+                return asking.result()
+            if name not in self.running:
+                asking.cancel()
+                raise errors.LinkTimeout(name, 'entry died')
+
+    async def _read(self, through, program_id, message):
+        text, reply = '', None
+        async for reply in through.forwarder.forward(program_id, message):
+            if isinstance(reply, messages.AnswerDelta):
+                text = text[: reply.offset] + reply.text
+            elif isinstance(reply, messages.AnswerRestarted):
+                text = ''
+        if isinstance(reply, messages.AnswerFinal) and reply.outcome == 'ok':
+            if text and text != reply.text:
+                raise AssertionError(f'parts {text!r}, whole {reply.text!r}')
+        return reply
+
+    async def create(self, program_id, contract, budget_tokens=0):
+        """Create a program."""
+        message = messages.CreateProgram(
+            program_id, 'c', contract, budget_tokens, 0.0
+        )
+        return await self.call(program_id, message)
+
+    async def turn(self, program_id, request_id, text):
+        """Run a turn."""
+        message = messages.SubmitTurn(
+            program_id, 'c', request_id, program.digest_of(text), text
+        )
+        return await self.call(program_id, message)
+
+    async def request(self, service, request_id, text):
+        """Send a request to a plain service."""
+        message = messages.ServiceRequest(
+            service, 'c', request_id, program.digest_of(service, text), text
+        )
+        program_id = owner.request_program_id(message)
+        return await self.call(program_id, message)
+
+    async def end(self, program_id):
+        """End a program."""
+        return await self.call(program_id, messages.EndProgram(program_id))
+
+    async def view(self, program_id):
+        """Read a program."""
+        return await self.call(program_id, messages.FetchProgram(program_id))
+
+    def _listing(self, name):
+        index = self._names.index(name)
+        return membership.Instance(
+            name, f'domain-{index % 3}', f'{name}:entry', f'{name}:link'
+        )
+
+
+TRANSIENT = ('platform_unavailable', 'owner_unreachable', 'not_ready')
+
+
+def _call(row):
+    function = row['function']
+    return records.ToolCall(row['id'], function['name'], function['arguments'])
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,38 @@
+"""Options and markers of the test run."""
+
+import os
+
+import pytest
+
+from tests import mutations
+
+
+def pytest_addoption(parser):
+    """Add the options of the proofs."""
+    parser.addoption('--mutate', default='', help='Break the build first.')
+    parser.addoption('--seeds', type=int, default=0, help='Seeds a proof.')
+
+
+def pytest_configure(config):
+    """Register the marker and apply the mutation that is asked for."""
+    config.addinivalue_line(
+        'markers',
+        'point(number, *mutations): proves a point of the brief and must '
+        'turn red under each of the mutations',
+    )
+    name = config.getoption('--mutate')
+    if name:
+        os.environ['BALSAMDALE_MUTATION'] = name
+        mutations.apply(name)
+
+
+@pytest.fixture
+def seeds(request):
+    """Return how many seeds a proof tries: few in a plain test run."""
+    return request.config.getoption('--seeds') or 40
+
+
+@pytest.fixture
+def is_long(request):
+    """Tell whether this is the long run of `make prove`."""
+    return bool(request.config.getoption('--seeds'))
--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,449 @@
+"""Deliberately broken builds; each must turn the proofs it names red.
+
+A mutation is a function that patches the real code. `MUTATIONS` maps its
+name to it; `apply` is also called by daemons that the proofs start.
+"""
+
+import asyncio
+import contextlib
+
+from balsamdale import answer
+from balsamdale import codec
+from balsamdale import configuration
+from balsamdale import errors
+from balsamdale import instance
+from balsamdale import journal
+from balsamdale import membership
+from balsamdale import messages
+from balsamdale import owner
+from balsamdale import ownership
+from balsamdale import program
+from balsamdale import quarantine
+from balsamdale import records
+from balsamdale import route
+from balsamdale import shard
+
+MUTATIONS = {}
+
+
+def mutation(function):
+    """Register a mutation under its name."""
+    MUTATIONS[function.__name__] = function
+    return function
+
+
+def apply(name: str) -> None:
+    """Break the build in one way."""
+    MUTATIONS[name]()
+
+
+@mutation
+def fencing_off():
+    """Journals accept every epoch."""
+
+    def fence(self, number, epoch):
+        self._held[number] = max(epoch, self._held.get(number, 0))
+
+    journal.Journal._fence = fence
+
+
+@mutation
+def seal_of_one():
+    """A takeover trusts a single journal."""
+    shard.seal_count = lambda folders: 1
+
+
+@mutation
+def ack_of_one():
+    """One synced copy counts as durable."""
+    shard.ack_count = lambda folders: 1
+    shard.seal_count = lambda folders: 2
+
+
+@mutation
+def longest_log_first():
+    """A takeover prefers length over the last record's epoch."""
+    shard.best_log = lambda sealed: max(
+        sealed, key=lambda key: (sealed[key].length, sealed[key].last_epoch)
+    )
+
+
+@mutation
+def no_epoch_start():
+    """A takeover opens before its own epoch is in the journals."""
+
+    def bring(self):
+        self._start_bringing()
+        self.begin_serve()
+        return [shard.Opened(), *self._send_all()]
+
+    def commit(self):
+        length = self._durable_length(self.placed.folders)
+        if length <= self.committed:
+            return []
+        self.committed = length
+        return [shard.Committed(length)]
+
+    shard.Shard._bring = bring
+    shard.Shard._commit = commit
+
+
+@mutation
+def replaced_before_caught_up():
+    """A new copy counts before it holds what the old one held."""
+
+    def swap(self):
+        if self._wanted is None or self._swap_sent or not self.serves:
+            return []
+        self._swap_sent = True
+        return [shard.SwapKey(self._wanted, self._revision)]
+
+    shard.Shard._swap_caught_up = swap
+
+
+@mutation
+def one_set_while_unknown():
+    """Only the old set must hold a record while a swap is under way."""
+
+    def commit(self):
+        length = self._durable_length(self.placed.folders)
+        if length <= self.committed or not self.log:
+            return []
+        if self.log[length - 1].epoch != self.epoch:
+            return []
+        self.committed = length
+        effects = [shard.Committed(length)]
+        if self.state == 'bringing':
+            self.begin_serve()
+            effects.append(shard.Opened())
+        return effects
+
+    shard.Shard._commit = commit
+
+
+@mutation
+def wiped_disk_counted():
+    """A disk that comes back empty passes for the one it was."""
+    from tests.proofs import shard_world
+
+    build = shard_world.World.__init__
+
+    def broken(self, seed, keep_identity=False):
+        build(self, seed, keep_identity=True)
+
+    shard_world.World.__init__ = broken
+
+
+@mutation
+def newest_turn_first():
+    """A program runs its newest call first."""
+
+    def open_turn(held):
+        for turn in reversed(held.turns):
+            if turn.answer is None:
+                return turn
+        return None
+
+    program.open_turn = open_turn
+
+
+@mutation
+def histories_mixed():
+    """A takeover files records under the wrong program."""
+    opened = owner.Owner.opened
+
+    def broken(self, held):
+        first = next((e.program_id for e in held.log if e.program_id), '')
+        real = program.apply
+
+        def apply_wrongly(record, before):
+            if isinstance(record, records.CallAccepted) and first:
+                before = self.programs.get(first, before)
+            return real(record, before)
+
+        program.apply = apply_wrongly
+        try:
+            opened(self, held)
+        finally:
+            program.apply = real
+
+    owner.Owner.opened = broken
+
+
+@mutation
+def answer_not_cut():
+    """A model call may answer beyond what the budget leaves."""
+    real = program._engine_action
+
+    def broken(held, turn, declared):
+        action = real(held, turn, declared)
+        if isinstance(action, program.Finish):
+            contract = declared.contract(held.created.contract)
+            return program.CallEngine(
+                contract.service,
+                tuple(program._conversation(held)),
+                (),
+                False,
+                0,
+                declared.limits.answer_tokens,
+            )
+        return action
+
+    program._engine_action = broken
+
+
+@mutation
+def unknown_uncharged():
+    """A request whose outcome is unknown costs nothing."""
+    real = program.close_open_step
+
+    def broken(held, now_s):
+        closing = real(held, now_s)
+        if closing is None:
+            return None
+        fields = {**closing.__dict__, 'charged_tokens': 0}
+        return records.StepFinished(**fields)
+
+    program.close_open_step = broken
+
+
+@mutation
+def release_dropped():
+    """An ended program's cache is left to the engine."""
+    owner.Owner._ensure_release = lambda self, program_id: None
+
+
+@mutation
+def release_unconfirmed():
+    """A release is sent once and taken as done."""
+
+    async def broken(self, held, name):
+        server = self._around.declared().server(name)
+        with contextlib.suppress(errors.BackendFailed):
+            await self._around.backends.release(server, held.id)
+        await self._record(records.CacheReleased(held.id, name))
+
+    owner.Owner._release_from = broken
+
+
+@mutation
+def offset_ignored():
+    """A resumed answer is sent again from its start as if it went on."""
+    real = answer.Answer.read
+
+    async def broken(self, offset):
+        shift = offset
+        async for event in real(self, 0):
+            if isinstance(event, messages.AnswerDelta):
+                event = messages.AnswerDelta(event.offset + shift, event.text)
+            yield event
+
+    answer.Answer.read = broken
+
+
+@mutation
+def answers_crossed():
+    """A call gets the answer of another turn."""
+    real = owner.Owner._join
+
+    def broken(self, program_id, request_id):
+        held = self.programs[program_id]
+        if len(held.turns) > 1:
+            request_id = held.turns[0].accepted.request_id
+        return real(self, program_id, request_id)
+
+    owner.Owner._join = broken
+
+
+@mutation
+def always_not_run():
+    """Every refusal claims that nothing ran."""
+    program.ran = lambda turn: 'no'
+    real = errors.Refused.__init__
+
+    def broken(self, code, status, detail, ran='no', retry_after_s=None):
+        real(self, code, status, detail, 'no', retry_after_s)
+
+    errors.Refused.__init__ = broken
+    build = records.AnswerReady.__init__
+
+    def ready(self, *args, **kwargs):
+        if kwargs.get('outcome') != 'ok' and 'ran' in kwargs:
+            kwargs['ran'] = 'no'
+        build(self, *args, **kwargs)
+
+    records.AnswerReady.__init__ = ready
+
+
+@mutation
+def refused_while_pending():
+    """A call is refused as not run though it may become durable."""
+    real = owner._unwritable
+    owner._unwritable = lambda ran: real('no')
+
+
+@mutation
+def intent_not_durable():
+    """A request leaves before the record of its start is durable."""
+
+    async def broken(self, record):
+        if isinstance(record, records.StepStarted):
+            held = self.programs[record.program_id]
+            self.programs[record.program_id] = program.apply(record, held)
+            body = (codec.encode(record),)
+            number = ownership.placement.shard_of(record.program_id)
+            late = self.owned.append(number, record.program_id, body)
+            task = asyncio.create_task(late)
+            task.add_done_callback(owner._retrieve)
+            return
+        await self._commit(record.program_id, lambda _: [record])
+
+    owner.Owner._record = broken
+
+
+@mutation
+def unknown_retried():
+    """A non-idempotent step with an unknown outcome is sent again."""
+    real = program.start_of
+
+    def broken(held, turn, action, server, now_s):
+        started = real(held, turn, action, server, now_s)
+        return records.StepStarted(**{**started.__dict__, 'idempotent': True})
+
+    program.start_of = broken
+
+
+@mutation
+def dedupe_off():
+    """A repeated request id runs as a new call."""
+    program.Program.turn_of = lambda self, request_id: next(
+        (
+            turn
+            for turn in reversed(self.turns)
+            if turn.accepted.request_id == request_id and turn.answer is None
+        ),
+        None,
+    )
+    real = owner.Owner._join
+
+    def join(self, program_id, request_id):
+        held = self.programs[program_id]
+        if held.turn_of(request_id) is None:
+            return len(held.turns) - 1, self._answer(held, len(held.turns) - 1)
+        return real(self, program_id, request_id)
+
+    owner.Owner._join = join
+    owner.Owner._end = lambda self, reason, held: []
+
+
+@mutation
+def quarantine_off():
+    """A request that crashes servers is tried for ever."""
+    quarantine.Quarantine.holds = lambda self, digest: False
+
+
+@mutation
+def suspects_together():
+    """Requests from one crash may share a server again."""
+    from balsamdale import dispatch
+
+    dispatch.Dispatcher._runs_suspect = lambda self: False
+
+
+@mutation
+def leaving_ignored():
+    """A leaving backend server still gets new work."""
+    real = route.candidates
+
+    def broken(servers, home, excluded, generator):
+        active = [
+            type(s)(**{**s.__dict__, 'state': 'active'}) for s in servers
+        ]
+        return real(active, home, excluded, generator)
+
+    route.candidates = broken
+
+
+@mutation
+def no_drain():
+    """A planned stop does not wait for what is in flight."""
+
+    async def broken(self):
+        return
+
+    instance.Instance._drain = broken
+
+
+@mutation
+def revision_goes_back():
+    """Any revision that arrives comes into force."""
+
+    def broken(self, revision, text):
+        self._declared = configuration.declaration.parse(text)
+        self.revision = revision
+        self._text = text
+        self._ready.set()
+        self._applied(revision)
+        return True
+
+    configuration.Relay.apply = broken
+
+
+@mutation
+def no_read_back():
+    """A write whose answer was lost counts as failed."""
+
+    async def broken(store, head, base_revision):
+        value = codec.encode(head)
+        revision = await store.swap(
+            configuration.HEAD_KEY, value, base_revision
+        )
+        if revision:
+            return configuration.Accepted(revision, head)
+        return configuration.Conflict(revision, None)
+
+    configuration._swap_head = broken
+
+
+@mutation
+def no_pull():
+    """An instance that is behind does not ask its peers."""
+    configuration.Relay.behind = lambda self, peer_id, revision: None
+
+
+@mutation
+def blind_write():
+    """A change is written over whatever is there."""
+
+    async def broken(store, head, base_revision):
+        pair = await store.get(configuration.HEAD_KEY)
+        revision = await store.swap(
+            configuration.HEAD_KEY,
+            codec.encode(head),
+            pair.revision if pair else 0,
+        )
+        return configuration.Accepted(revision, head)
+
+    real = configuration.fetch_head
+
+    configuration._swap_head = broken
+    configuration.accept.__globals__['fetch_head'] = real
+
+
+@mutation
+def no_takeover():
+    """Nobody takes over the shards of a dead instance."""
+    instance.Instance._changed = lambda self, instance_id, status: None
+    real = ownership.Ownership.find
+
+    async def broken(self, number):
+        return self.hint(number) or await real(self, number)
+
+    ownership.Ownership.find = broken
+
+
+@mutation
+def verdict_without_probe():
+    """One silent peer is enough to call an instance dead."""
+    membership.Membership._probe = lambda self, peer_id: []
+    membership.VERDICT_S = 0.0
