--- a/balsamdale/answer.py
+++ b/balsamdale/answer.py
@@ -11,28 +11,29 @@
 class Answer:
     """The text of a running turn, with its durable end.
 
-    A reader may join at any offset, also after a restart.
+    A reader may join at any offset. Offsets belong to the step that writes
+    the text: a reader that comes with another step's offset, from an owner
+    that died or from before a retry, starts again.
     """
 
     def __init__(self):
         self._text = ''
-        self._restarts = 0
+        self._step = -1
         self._final: messages.AnswerFinal | None = None
         self._changed = asyncio.Event()
         self._failure: Exception | None = None
 
+    def start(self, step: int) -> None:
+        """Discard the text: another step writes the answer."""
+        self._text = ''
+        self._step = step
+        self._notify()
+
     def write(self, text: str) -> None:
         """Add text to the end."""
         self._text += text
         self._notify()
 
-    def restart(self) -> None:
-        """Discard the text: the model call runs again."""
-        if self._text:
-            self._text = ''
-            self._restarts += 1
-            self._notify()
-
     def finish(self, final: messages.AnswerFinal) -> None:
         """Publish the end; its record must be durable already."""
         self._final = final
@@ -43,21 +44,27 @@
         self._failure = failure
         self._notify()
 
-    async def read(self, offset: int) -> collections_abc.AsyncIterator[object]:
-        """Yield deltas from an offset, restarts, and the final event."""
-        restarts = self._restarts
+    async def read(
+        self, offset: int = 0, step: int = -1
+    ) -> collections_abc.AsyncIterator[object]:
+        """Yield deltas from an offset of a step, restarts, and the end.
+
+        Args:
+            offset: characters that the reader has.
+            step: the step that wrote them; -1 where there are none.
+        """
         while True:
             changed = self._changed
             if self._failure is not None:
                 raise self._failure
-            if self._restarts != restarts or offset > len(self._text):
-                if self._final is None or self._restarts != restarts:
-                    restarts = self._restarts
-                    offset = 0
+            if step != self._step and self._text:
+                if offset:
                     yield messages.AnswerRestarted()
-            if offset < len(self._text):
+                offset, step = 0, self._step
+            if step == self._step and offset < len(self._text):
                 start, offset = offset, len(self._text)
-                yield messages.AnswerDelta(start, self._text[start:offset])
+                text = self._text[start:offset]
+                yield messages.AnswerDelta(start, text, step)
             if self._final is not None:
                 yield self._final
                 return
--- a/balsamdale/desk.py
+++ b/balsamdale/desk.py
@@ -58,7 +58,7 @@
 
     async def _run_submit(self, message):
         _, stream = await self._owner.submit(message)
-        async for event in stream.read(message.offset):
+        async for event in stream.read(message.offset, message.step):
             yield event
 
     async def _request(self, _sender, message):
@@ -68,7 +68,7 @@
 
     async def _run_request(self, message):
         _, stream = await self._owner.request(message)
-        async for event in stream.read(0):
+        async for event in stream.read():
             yield event
 
     async def _fetch_turn(self, _sender, message):
@@ -79,7 +79,7 @@
 
     async def _run_fetch(self, message):
         stream = self._owner.join(message.program_id, message.turn)
-        async for event in stream.read(message.offset):
+        async for event in stream.read(message.offset, message.step):
             yield event
 
     async def _fetch_program(self, _sender, message):
@@ -115,7 +115,7 @@
         """Open the program's shard and turn errors into replies."""
         number = placement.shard_of(program_id)
         try:
-            if self.is_leaving and not self._serves(number):
+            if self.is_leaving and not self._owned.serves(number):
                 raise errors.NotOwner(number, '')
             await self._owned.open(number)
             async for reply in self._confirmed(number, replies):
@@ -141,9 +141,6 @@
                 await self._owned.confirm(number)
             raise
 
-    def _serves(self, number):
-        return any(held.number == number for held in self._owned.serving)
-
     def _shard(self, program_id):
         number = placement.shard_of(program_id)
         return next(s for s in self._owned.serving if s.number == number)
--- a/balsamdale/dispatch.py
+++ b/balsamdale/dispatch.py
@@ -128,6 +128,10 @@
         """Grants that are out."""
         return len(self._running)
 
+    def waiting_ids(self) -> list[str]:
+        """Return the grant ids in the queue."""
+        return list(self._waiting)
+
     def limit(self, now_s: float) -> int:
         """Return how many grants may be out."""
         slots = self.server.slots
--- a/balsamdale/forward.py
+++ b/balsamdale/forward.py
@@ -110,10 +110,10 @@
     if not isinstance(message, (messages.SubmitTurn, messages.FetchTurn)):
         return message
     if isinstance(reply, messages.AnswerRestarted):
-        return dataclasses.replace(message, offset=0)
+        return dataclasses.replace(message, offset=0, step=-1)
     if isinstance(reply, messages.AnswerDelta):
         offset = reply.offset + len(reply.text)
-        return dataclasses.replace(message, offset=offset)
+        return dataclasses.replace(message, offset=offset, step=reply.step)
     return message
 
 
--- a/balsamdale/grant.py
+++ b/balsamdale/grant.py
@@ -88,7 +88,7 @@
         if server is None:
             return None
         if dispatcher_of(server, self._members) != self._members.own_id:
-            self._queues.pop(name, None)
+            self._displace(name)
             return None
         held = self._queues.get(name)
         if held is None:
@@ -110,8 +110,17 @@
         """Poll the queues until cancelled."""
         while True:
             await asyncio.sleep(POLL_S)
-            for queue in self.queues():
-                self._poll(queue)
+            for name in list(self._queues):
+                queue = self.queue(name)
+                if queue is not None:
+                    self._poll(queue)
+
+    def _displace(self, name):
+        """Send those who wait in a queue that has moved to its new place."""
+        queue = self._queues.pop(name, None)
+        if queue is not None:
+            for grant_id in queue.waiting_ids():
+                self._settle(grant_id, self._elsewhere(name))
 
     async def _quote(self, _sender, message):
         queue = self.queue(message.server)
--- a/balsamdale/heartbeat.py
+++ b/balsamdale/heartbeat.py
@@ -68,6 +68,7 @@
         self._pinging: set[str] = set()
         links.serve(messages.Ping, self._on_ping)
         links.serve(messages.Probe, self._on_probe)
+        links.serve(messages.PullMembers, self._on_pull)
 
     async def run(self) -> None:
         """Ping peers until cancelled."""
@@ -85,6 +86,12 @@
                 delay_s = LIST_RETRY_S
             await asyncio.sleep(delay_s)
 
+    async def join(self) -> None:
+        """Learn from a few peers who is alive."""
+        await asyncio.gather(
+            *(self._pull(name) for name in self._members.peers_to_join())
+        )
+
     def perform(self, effects: list) -> None:
         """Carry out what the membership decided."""
         for effect in effects:
@@ -98,6 +105,11 @@
                 )
                 self._changed(effect.instance_id, effect.status)
 
+    def learn(self, instance: membership.Instance) -> None:
+        """Take over an instance and where it listens."""
+        self._members.learn(instance)
+        self._links.set_peer(instance.instance_id, instance.link_address)
+
     async def _read_list(self):
         pairs, _ = await self._store.scan(INSTANCES_PREFIX)
         listed = set()
@@ -110,8 +122,7 @@
                 row['link_address'],
             )
             listed.add(instance.instance_id)
-            self._members.learn(instance)
-            self._links.set_peer(instance.instance_id, instance.link_address)
+            self.learn(instance)
         for instance_id in set(self._members.instances) - listed:
             self._members.forget(instance_id)
 
@@ -141,6 +152,19 @@
         if isinstance(reply, messages.Ok):
             self._members.vouched(effect.target_id, self._clock())
 
+    async def _pull(self, peer_id):
+        try:
+            reply = await self._links.request(
+                peer_id, messages.PullMembers(), PING_TIMEOUT_S
+            )
+        except errors.LinkError:
+            return
+        for update in reply.updates:
+            self.perform(self._members.merge(update))
+
+    async def _on_pull(self, _sender, _message):
+        yield messages.Members(self._members.everything())
+
     async def _on_ping(self, _sender, message):
         self._hear(message)
         yield self._message(messages.Pong)
--- a/balsamdale/instance.py
+++ b/balsamdale/instance.py
@@ -103,6 +103,8 @@
             self._changed,
             self._clock,
         )
+        for peer in given.peers:
+            self.heartbeat.learn(peer)
         self._build_owner()
         self.forwarder = forward.Forwarder(
             self.links, self.owned, self._generator
@@ -191,6 +193,7 @@
             asyncio.create_task(self._run_repair()),
         ]
         await self.relay.wait_ready()
+        await self.heartbeat.join()
         await self._pull_crashes()
         await self._restore_owners()
         logging.info('instance: %s is ready', self.settings.instance_id)
--- a/balsamdale/link.py
+++ b/balsamdale/link.py
@@ -130,7 +130,7 @@
 
     def is_open(self, sender_id: str, receiver_id: str) -> bool:
         """Tell whether messages pass in one direction."""
-        known = receiver_id in self.links
+        known = {sender_id, receiver_id} <= self.links.keys()
         return known and (sender_id, receiver_id) not in self.cuts
 
 
--- a/balsamdale/membership.py
+++ b/balsamdale/membership.py
@@ -28,6 +28,7 @@
 PROBES = 2
 FANOUT = 3
 UPDATE_LIMIT = 8
+JOIN_PEERS = 5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -161,7 +162,11 @@
         return effects
 
     def updates(self) -> tuple[messages.MemberUpdate, ...]:
-        """Return changes to send along, each a bounded number of times."""
+        """Return what to send along with a ping.
+
+        That is this instance's own state, and changes, each of them a
+        bounded number of times.
+        """
         chosen = sorted(
             self._sends_left, key=self._sends_left.get, reverse=True
         )[:UPDATE_LIMIT]
@@ -169,7 +174,17 @@
             self._sends_left[name] -= 1
             if self._sends_left[name] <= 0:
                 del self._sends_left[name]
-        return tuple(self._states[name] for name in chosen)
+        others = (name for name in chosen if name != self.own_id)
+        return tuple(self._states[n] for n in (self.own_id, *others))
+
+    def everything(self) -> tuple[messages.MemberUpdate, ...]:
+        """Return all that is known, for an instance that joins."""
+        return tuple(self._states.values())
+
+    def peers_to_join(self) -> list[str]:
+        """Return a few instances to ask when joining."""
+        others = self.reachable()
+        return self._generator.sample(others, min(JOIN_PEERS, len(others)))
 
     def heard(
         self,
@@ -186,8 +201,6 @@
         if self.status(peer_id) == 'dead':
             # Tell the peer of the verdict, so that it can refute it.
             self._queue(peer_id)
-        elif self.status(peer_id) == 'unknown':
-            self._queue(self.own_id)
         return effects
 
     def vouched(self, target_id: str, now_s: float) -> None:
--- a/balsamdale/messages.py
+++ b/balsamdale/messages.py
@@ -23,6 +23,7 @@
     'GrantRenew',
     'GrantRequest',
     'MemberUpdate',
+    'Members',
     'NotOwnerReply',
     'Ok',
     'Owners',
@@ -35,6 +36,7 @@
     'ProgramList',
     'PullConfiguration',
     'PullCrashes',
+    'PullMembers',
     'PullOwners',
     'Quote',
     'QuoteRequest',
@@ -168,6 +170,18 @@
     updates: tuple[MemberUpdate, ...]
 
 
+@codec.message
+class PullMembers:
+    """Ask a peer for all that it knows of the instances."""
+
+
+@codec.message
+class Members:
+    """Everything that is known of the instances."""
+
+    updates: tuple[MemberUpdate, ...]
+
+
 @codec.message
 class Probe:
     """Ask another instance to ping a third one."""
@@ -231,7 +245,8 @@
 class SubmitTurn:
     """Run a turn, or join the turn with the same request id.
 
-    `offset` is the number of characters of the answer already delivered.
+    `offset` characters of the answer that `step` writes are delivered
+    already.
     """
 
     program_id: str
@@ -240,6 +255,7 @@
     digest: str
     text: str
     offset: int = 0
+    step: int = -1
 
 
 @codec.message
@@ -255,11 +271,12 @@
 
 @codec.message
 class FetchTurn:
-    """Read one turn; `offset` characters are delivered already."""
+    """Read one turn; `offset` characters of `step` are delivered."""
 
     program_id: str
     turn: int
     offset: int = 0
+    step: int = -1
 
 
 @codec.message
@@ -278,10 +295,15 @@
 
 @codec.message
 class AnswerDelta:
-    """A part of an answer, `offset` characters from its start."""
+    """A part of an answer, `offset` characters from its start.
+
+    `step` is the model call that writes the answer; offsets of different
+    steps have nothing to do with each other.
+    """
 
     offset: int
     text: str
+    step: int = -1
 
 
 @codec.message
--- a/balsamdale/owner.py
+++ b/balsamdale/owner.py
@@ -159,7 +159,9 @@
             Refused: the program does not take the call; it did not run.
         """
         held = self._find(message.program_id, message.caller)
-        await self._commit(held.id, functools.partial(self._accept, message))
+        await self._commit_call(
+            held.id, functools.partial(self._accept, message)
+        )
         return self._join(held.id, message.request_id)
 
     async def request(
@@ -294,6 +296,7 @@
             stream = answer.Answer()
             ready = held.turns[number].answer
             if ready is not None:
+                stream.start(_last_engine_step(held.turns[number]))
                 stream.write(ready.text)
                 stream.finish(_final(ready))
                 return stream
@@ -332,6 +335,8 @@
     async def _commit_now(self, program_id, decide):
         number = placement.shard_of(program_id)
         async with self._locks[program_id]:
+            if not self.owned.serves(number):
+                raise errors.NotOwner(number, '')
             before = self.programs.get(program_id)
             decided = decide(before)
             if not decided:
@@ -342,6 +347,8 @@
             bodies = tuple(codec.encode(record) for record in decided)
             await self.owned.append(number, program_id, bodies)
             self.programs[program_id] = after
+        if program.open_turn(after) is not None:
+            self._ensure_run(program_id)
 
     async def _record(self, record):
         await self._commit(record.program_id, lambda _: [record])
@@ -526,7 +533,7 @@
         model = declared.service(action.service).model
         request_id = f'{held.id}:{started.turn}:{started.step}'
         stream = self._answer(held, started.turn)
-        stream.restart()
+        stream.start(started.step)
         parts = self._around.backends.complete(
             lease.server, model, action, request_id, held.id
         )
@@ -634,7 +641,7 @@
             started.target, functools.partial(self._accept, submitted)
         )
         _, stream = self._join(started.target, 'task')
-        final = await _last(stream.read(0))
+        final = await _last(stream.read())
         spent_tokens = self.programs[started.target].spent_tokens
         output = final.text or f'the sub-agent ended: {final.code}'
         await self._record(
@@ -789,6 +796,12 @@
     return ''
 
 
+def _last_engine_step(turn):
+    """Return the step that wrote a turn's answer; -1 where none did."""
+    steps = (s.started for s in turn.steps if s.started.kind == 'engine')
+    return max((started.step for started in steps), default=-1)
+
+
 def _expected_tokens(action):
     size_bytes = sum(len(str(m.get('content'))) for m in action.messages)
     return size_bytes // BYTES_PER_TOKEN + 1
--- a/balsamdale/ownership.py
+++ b/balsamdale/ownership.py
@@ -145,11 +145,16 @@
         except TimeoutError as error:
             raise errors.KeyValueUnavailable('no takeover', False) from error
 
+    def serves(self, number: int) -> bool:
+        """Tell whether this instance serves a shard."""
+        held = self._shards.get(number)
+        return held is not None and held.serves
+
     def is_writable(self, number: int) -> bool:
         """Tell whether enough journals of a served shard seem reachable."""
-        held = self._shards.get(number)
-        if held is None or not held.serves:
+        if not self.serves(number):
             return False
+        held = self._shards[number]
         present = {folder.folder_id for folder in self.folders(leaving=True)}
         reachable = [f for f in held.answering() if f.folder_id in present]
         return len(reachable) >= shard.ack_count(len(held.placed.folders))
--- a/balsamdale/settings.py
+++ b/balsamdale/settings.py
@@ -5,6 +5,7 @@
 import pathlib
 
 from balsamdale import findings
+from balsamdale import membership
 
 __all__ = ['Settings', 'load']
 
@@ -22,6 +23,7 @@
         key_file: file with the deployment's CURVE key pair; empty for none.
         data_folder: folder on the instance's disk; empty without a disk.
         log_level: 'info', or 'debug' for more detail.
+        peers: a few instances to ask while the platform's list is away.
     """
 
     instance_id: str
@@ -32,6 +34,7 @@
     key_file: str = ''
     data_folder: str = ''
     log_level: str = 'info'
+    peers: tuple[membership.Instance, ...] = ()
 
 
 def load(path: str) -> Settings:
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -30,6 +30,7 @@
 INSTANCES_PER_DOMAIN = 3
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
+PEERS = 3
 HOST = '127.0.0.1'
 
 
@@ -238,19 +239,22 @@
         public, secret = zmq.auth.create_certificates(self.folder, 'fleet')
         domains = [domain.name for domain in self.declared.failure_domains]
         ports = free_ports(2 * self._count)
-        for index in range(self._count):
-            name = f'entry-{index + 1}'
-            instance = membership.Instance(
-                name,
+        planned = [
+            membership.Instance(
+                f'entry-{index + 1}',
                 domains[index % len(domains)],
                 f'{HOST}:{ports[2 * index]}',
                 f'{HOST}:{ports[2 * index + 1]}',
             )
-            has_disk = index < self._disks
-            path = self._write_settings(instance, secret, has_disk)
-            self.members[name] = Member(instance, path)
+            for index in range(self._count)
+        ]
+        for index, instance in enumerate(planned):
+            path = self._write_settings(
+                instance, secret, index < self._disks, planned[:PEERS]
+            )
+            self.members[instance.instance_id] = Member(instance, path)
 
-    def _write_settings(self, instance, key_file, has_disk):
+    def _write_settings(self, instance, key_file, has_disk, peers):
         name = instance.instance_id
         lines = [
             f'instance_id = "{name}"',
@@ -262,6 +266,10 @@
         ]
         if has_disk:
             lines.append(f'data_folder = "{self.folder / "data" / name}"')
+        for peer in peers:
+            lines.append('[[peers]]')
+            for key, value in dataclasses.asdict(peer).items():
+                lines.append(f'{key} = "{value}"')
         path = self.folder / f'{name}.toml'
         path.write_text('\n'.join(lines) + '\n')
         return path
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -56,14 +56,15 @@
             body = backend.chat_body(model, call, session)
             text, calls = engine.answer(body)
             answer_tokens = 0
-            for word in text.split(' '):
+            words = text.split(' ') if text else []
+            for word in words:
                 await asyncio.sleep(TOKEN_S)
                 self.used_tokens[session] += 2
                 answer_tokens += 2
                 yield backend.TextDelta(word + ' ')
             self.cached[server.name][session] = prompt
             yield backend.Completion(
-                text=''.join(w + ' ' for w in text.split(' ')),
+                text=''.join(word + ' ' for word in words),
                 tool_calls=tuple(_call(row) for row in calls),
                 prompt_tokens=prompt,
                 answer_tokens=answer_tokens,
@@ -164,7 +165,12 @@
         """Start one instance."""
         place = self._listing(name)
         given = settings.Settings(
-            name, place.failure_domain, place.entry_address, '', ('x',)
+            name,
+            place.failure_domain,
+            place.entry_address,
+            '',
+            ('x',),
+            peers=tuple(self._listing(n) for n in self._names[:3]),
         )
         loop = asyncio.get_running_loop()
         parts = instance.Parts(
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -14,7 +14,6 @@
 from balsamdale import instance
 from balsamdale import journal
 from balsamdale import membership
-from balsamdale import messages
 from balsamdale import owner
 from balsamdale import ownership
 from balsamdale import program
@@ -227,15 +226,12 @@
 
 
 @mutation
-def offset_ignored():
-    """A resumed answer is sent again from its start as if it went on."""
+def steps_confused():
+    """Offsets of one step count for the text of another."""
     real = answer.Answer.read
 
-    async def broken(self, offset):
-        shift = offset
-        async for event in real(self, 0):
-            if isinstance(event, messages.AnswerDelta):
-                event = messages.AnswerDelta(event.offset + shift, event.text)
+    async def broken(self, offset=0, step=-1):
+        async for event in real(self, offset, self._step):
             yield event
 
     answer.Answer.read = broken
@@ -275,6 +271,16 @@
     records.AnswerReady.__init__ = ready
 
 
+@mutation
+def confirm_off():
+    """An owner answers from its state without confirming its epoch."""
+
+    async def broken(self, number):
+        return
+
+    ownership.Ownership.confirm = broken
+
+
 @mutation
 def refused_while_pending():
     """A call is refused as not run though it may become durable."""
@@ -374,6 +380,17 @@
     instance.Instance._drain = broken
 
 
+@mutation
+def no_handover():
+    """A planned stop leaves its shards to be found dead."""
+
+    async def broken(self):
+        return
+
+    ownership.Ownership.hand_over = broken
+    instance.Instance._ask_take_over = lambda self, number: broken(self)
+
+
 @mutation
 def revision_goes_back():
     """Any revision that arrives comes into force."""
--- a/tests/proofs/session.py
+++ b/tests/proofs/session.py
@@ -14,6 +14,7 @@
 ALERT = 'check the pollen counts and send the clinic alert'
 OUTAGE_S = 8.0
 CUT_S = 6.0
+REBOOT_S = 5.0
 SETTLE_S = 25.0
 
 
@@ -60,11 +61,12 @@
             self.appends += 1
         if moment != self._moment or self.appends < self._at + 1:
             return
-        if self._at < 0 or not self._strikes_left:
+        owner = self._cluster.owner_of(shard)
+        if self._at < 0 or not self._strikes_left or not owner:
             return
         self._strikes_left -= 1
         self._at = self.appends + 8
-        self._strike(self._cluster.owner_of(shard))
+        self._strike(owner)
 
     def _strike(self, owner):
         loop = asyncio.get_running_loop()
@@ -79,6 +81,12 @@
         if self._kind == 'disk_crash':
             victim = next(iter(self._cluster.disks))
         self._cluster.crash(victim)
+        loop.call_later(REBOOT_S, self._reboot, victim)
+
+    def _reboot(self, victim):
+        self._cluster.booting = asyncio.ensure_future(
+            self._cluster.boot(victim)
+        )
 
     def _mend_store(self):
         self._cluster.store.available = True
--- /dev/null
+++ b/tests/proofs/test_order.py
@@ -0,0 +1,31 @@
+"""Point 1: the calls of one program run in the order it made them."""
+
+import pytest
+
+
+@pytest.mark.point(1, 'newest_turn_first')
+def test_every_prompt_holds_the_calls_before_it_in_order(sweep):
+    for case in sweep:
+        for session, prompt in case.seen.backends.prompts:
+            view = case.seen.views[session]
+            calls = [m['content'] for m in prompt if m['role'] == 'user']
+            accepted = [turn.text for turn in view.turns]
+            assert calls == accepted[: len(calls)], case.name
+
+
+@pytest.mark.point(1, 'newest_turn_first')
+def test_every_prompt_holds_the_answers_before_it(sweep):
+    for case in sweep:
+        for session, prompt in case.seen.backends.prompts:
+            answers = [
+                turn.answer
+                for turn in case.seen.views[session].turns
+                if turn.outcome == 'ok'
+            ]
+            said = [
+                message['content']
+                for message in prompt
+                if message['role'] == 'assistant'
+                and 'tool_calls' not in message
+            ]
+            assert said == answers[: len(said)], case.name
