Let operators plan, confirm and see; weigh prefill in the choice of engine

Cause (routing): after export, the rest of the waste came from programs that moved to another engine for a shorter wait. Ruled out: evictions by the engine (none while working sets fit). Change: prefill counts eight times more in the choice, since it takes slots from others.

Cause (operators): a change could only be made by writing the declaration. Change: intents (declare, drain and return a server or a failure domain, budget, undo) make plans bound to a revision; confirming is a compare-and- swap with the plan's name as change id, so that a repeated confirmation is recognised; status, programs, explain, burn; porcelain with one function per command. The burn report is a fold of the programs' own records. Loading model versions in stages is not there yet.

--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,14 @@
 prove: setup
 	@$(BIN)/python -m harness.prove --seeds $(SEEDS)
 
+measure: setup
+	@$(BIN)/python -m harness.measure
+
+bench: setup
+	@$(BIN)/python -m harness.bench
+
+capacity: setup
+	@$(BIN)/python -m harness.capacity
+
 clean:
 	rm -rf .venv build *.egg-info
--- a/balsamdale/configuration.py
+++ b/balsamdale/configuration.py
@@ -105,17 +105,21 @@
     operator: str,
     summary: str,
     now_s: float,
+    change_id: str = '',
 ) -> Accepted | Conflict:
     """Write a checked declaration over the revision it was planned on.
 
     A write whose answer was lost is settled by reading its change id back,
-    so that the answer is never a guess.
+    so that the answer is never a guess. A change that is in force already is
+    accepted again.
 
     Raises:
         KeyValueUnavailable: the service stayed away; whether the change was
             applied is said by the error.
     """
     held, revision = await fetch_head(store)
+    if held is not None and change_id and held.change_id == change_id:
+        return Accepted(revision, held)
     if revision != base_revision:
         return Conflict(revision, held)
     parts = []
@@ -125,7 +129,7 @@
         await _put_part(store, digest, part)
     head = Head(
         parts=tuple(parts),
-        change_id=uuid.uuid4().hex,
+        change_id=change_id or uuid.uuid4().hex,
         operator=operator,
         summary=summary,
         at_s=now_s,
@@ -224,6 +228,11 @@
             )
         return self._declared
 
+    @property
+    def text(self) -> str:
+        """The declaration in force, as TOML text."""
+        return self._text
+
     async def wait_ready(self) -> None:
         """Wait until a declaration is in force."""
         await self._ready.wait()
--- a/balsamdale/declaration.py
+++ b/balsamdale/declaration.py
@@ -9,7 +9,6 @@
 import typing
 
 from balsamdale import findings
-from balsamdale import settings
 
 __all__ = [
     'BackendServer',
@@ -263,7 +262,7 @@
     domains = {domain.name for domain in declared.failure_domains}
     for index, server in enumerate(declared.backend_servers):
         place = f'backend_servers[{index}]'
-        settings.check_address(document, f'{place}.address', server.address)
+        document.check_address(f'{place}.address', server.address)
         if declared.service(server.service) is None:
             document.add(f'{place}.service', 'names no service')
         if server.failure_domain not in domains:
--- a/balsamdale/desk.py
+++ b/balsamdale/desk.py
@@ -39,6 +39,7 @@
         links.serve(messages.FetchProgram, self._fetch_program)
         links.serve(messages.EndProgram, self._end)
         links.serve(messages.ListPrograms, self._list)
+        links.serve(messages.BurnRequest, self._burn)
 
     async def _create(self, _sender, message):
         async for reply in self._guard(
@@ -111,6 +112,9 @@
         )
         yield messages.ProgramList(tuple(rows))
 
+    async def _burn(self, _sender, _message):
+        yield messages.BurnCounts(self._owner.burn())
+
     async def _guard(self, program_id, replies):
         """Open the program's shard and turn errors into replies."""
         number = placement.shard_of(program_id)
--- a/balsamdale/dispatch.py
+++ b/balsamdale/dispatch.py
@@ -175,11 +175,12 @@
         wait_s = self._slot_wait_s(now_s)
         if resident == 0 and self.policy.gate:
             wait_s += self._gate_wait_s(request.prompt_tokens)
+        decode_s = request.answer_tokens / self.server.decode_tokens_per_s
         return messages.Quote(
             server=self.server.name,
             wait_s=wait_s,
+            prefill_s=service_s - decode_s,
             finish_s=now_s + wait_s + service_s,
-            resident_tokens=resident,
         )
 
     def request(
--- a/balsamdale/entry.py
+++ b/balsamdale/entry.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 import msgspec
 
+from balsamdale import console
 from balsamdale import errors
 from balsamdale import instance
 from balsamdale import messages
@@ -82,6 +83,7 @@
             web.post(
                 '/v1/services/{name}/requests', self._guarded(self._request)
             ),
+            *console.Console(self._instance, self._guarded).routes(),
             web.get('/healthz', self._healthz),
             web.get('/readyz', self._readyz),
             web.get('/metrics', self._metrics),
@@ -94,6 +96,13 @@
                     return await handler(request)
                 except errors.Refused as refused:
                     return _problem(refused)
+                except errors.KeyValueUnavailable as error:
+                    ran = 'unknown' if error.maybe_applied else 'no'
+                    return _problem(
+                        errors.Refused(
+                            'platform_unavailable', 503, str(error), ran, 2.0
+                        )
+                    )
 
         return guarded
 
--- a/balsamdale/findings.py
+++ b/balsamdale/findings.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import ipaddress
 import pathlib
 import re
 import tomllib
@@ -88,6 +89,17 @@
             if key not in keys:
                 self.add(key, 'unknown key')
 
+    def check_address(self, key: str, address: str) -> None:
+        """Record a finding unless an address is an IP number and a port."""
+        host, _, port = address.rpartition(':')
+        try:
+            ipaddress.ip_address(host.strip('[]'))
+        except ValueError:
+            self.add(key, f'{address!r} needs an IP number and a port')
+            return
+        if not port.isdigit() or not 0 < int(port) < 65536:
+            self.add(key, f'{address!r} has no valid port')
+
     def close(self) -> None:
         """Raise what was found.
 
--- a/balsamdale/instance.py
+++ b/balsamdale/instance.py
@@ -338,6 +338,21 @@
         )
         yield messages.Crashes(tuple(rows))
 
+    async def ask_all(self, message: object) -> dict[str, object]:
+        """Return the answer of every live instance that gives one."""
+        names = [*self.members.reachable(), self.settings.instance_id]
+        replies = await asyncio.gather(
+            *(self._ask_one(name, message) for name in names)
+        )
+        pairs = zip(names, replies)
+        return {name: reply for name, reply in pairs if reply is not None}
+
+    async def _ask_one(self, name, message):
+        try:
+            return await self.links.request(name, message)
+        except errors.LinkError:
+            return None
+
     def _short_of_copies(self):
         return sum(
             held.copies() < ownership.COPIES for held in self.owned.serving
--- a/balsamdale/messages.py
+++ b/balsamdale/messages.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from balsamdale import burn
 from balsamdale import codec
 from balsamdale import journal
 
@@ -11,6 +12,8 @@
     'AnswerRestarted',
     'AppendEntries',
     'AppendReply',
+    'BurnCounts',
+    'BurnRequest',
     'Configuration',
     'Crashes',
     'CreateProgram',
@@ -383,6 +386,18 @@
     programs: tuple[ProgramSummary, ...]
 
 
+@codec.message
+class BurnRequest:
+    """Ask an instance for the burn counts of its programs."""
+
+
+@codec.message
+class BurnCounts:
+    """Answer to `BurnRequest`."""
+
+    counts: tuple[burn.Counts, ...]
+
+
 @codec.message
 class QuoteRequest:
     """Ask a dispatcher how long a call would take on its server."""
@@ -395,12 +410,16 @@
 
 @codec.message
 class Quote:
-    """Expected finish of a call on one backend server."""
+    """Expected finish of a call on one backend server.
+
+    `prefill_s` is the part of it that reads the prompt; it takes slot time
+    from others.
+    """
 
     server: str
     wait_s: float
+    prefill_s: float
     finish_s: float
-    resident_tokens: int
 
 
 @codec.message
--- a/balsamdale/owner.py
+++ b/balsamdale/owner.py
@@ -17,6 +17,7 @@
 
 from balsamdale import answer
 from balsamdale import backend
+from balsamdale import burn
 from balsamdale import codec
 from balsamdale import declaration
 from balsamdale import errors
@@ -208,6 +209,14 @@
                 await self._commit(name, functools.partial(self._end, reason))
                 self._ensure_release(name)
 
+    def burn(self) -> tuple[burn.Counts, ...]:
+        """Count the turns of the programs kept here, for the burn report."""
+        return burn.count(
+            list(self.programs.values()),
+            self._around.declared(),
+            self._around.clock(),
+        )
+
     def find(self, program_id: str) -> program.Program:
         """Return a program.
 
--- a/balsamdale/porcelain.py
+++ b/balsamdale/porcelain.py
@@ -1,8 +1,32 @@
-"""Access to every operator command as one plain function."""
+"""Access to every operator command as one plain function.
 
+The functions talk to any instance's entry address over HTTP.
+"""
+
+import asyncio
+import difflib
+import pathlib
+
+import aiohttp
+
+from balsamdale import burn as burn_rates
 from balsamdale import declaration
+from balsamdale import errors
 
-__all__ = ['check']
+__all__ = [
+    'abandon',
+    'burn',
+    'check',
+    'confirm',
+    'diff',
+    'explain',
+    'plan',
+    'programs',
+    'show_plan',
+    'status',
+]
+
+TIMEOUT_S = 15.0
 
 
 def check(path: str) -> declaration.Declaration:
@@ -12,3 +36,122 @@
         CheckFailed: the file holds mistakes, all of which are listed.
     """
     return declaration.load(path)
+
+
+def diff(entry: str, path: str) -> list[str]:
+    """Return how a declaration file differs from what is in force.
+
+    Raises:
+        CheckFailed: the file holds mistakes.
+        Refused: the system refused.
+    """
+    declaration.load(path)
+    held = _call('GET', entry, 'declaration')
+    lines = difflib.unified_diff(
+        held['text'].splitlines(),
+        pathlib.Path(path).read_text().splitlines(),
+        f'revision {held["revision"]}',
+        path,
+        lineterm='',
+    )
+    return list(lines)
+
+
+def plan(
+    entry: str, operator: str, kind: str, target: str = '', value: str = ''
+) -> dict:
+    """Plan an intent; nothing changes yet.
+
+    Args:
+        entry: entry address of any instance.
+        operator: who asks.
+        kind: 'declare', 'drain-server', 'return-server', 'drain-domain',
+            'return-domain', 'budget' or 'undo'.
+        target: what the intent is about; a file's path for 'declare'.
+        value: the new value for 'budget'.
+
+    Raises:
+        CheckFailed: the declaration file holds mistakes.
+        Refused: the system refused.
+    """
+    if kind == 'declare':
+        declaration.load(target)
+        target = pathlib.Path(target).read_text()
+    body = {
+        'operator': operator,
+        'kind': kind,
+        'target': target,
+        'value': value,
+    }
+    return _call('POST', entry, 'plans', body)
+
+
+def show_plan(entry: str, plan_id: str) -> dict:
+    """Return a plan that is not confirmed yet."""
+    return _call('GET', entry, f'plans/{plan_id}')
+
+
+def confirm(entry: str, operator: str, plan_id: str) -> dict:
+    """Put a plan in force.
+
+    Raises:
+        Refused: another change came first, or the plan has expired.
+    """
+    body = {'operator': operator}
+    return _call('POST', entry, f'plans/{plan_id}/confirm', body)
+
+
+def abandon(entry: str, plan_id: str) -> dict:
+    """Drop a plan."""
+    return _call('DELETE', entry, f'plans/{plan_id}')
+
+
+def status(entry: str) -> dict:
+    """Return the state of the deployment."""
+    return _call('GET', entry, 'status')
+
+
+def programs(entry: str) -> list[dict]:
+    """Return a row for each live program."""
+    return _call('GET', entry, 'programs')['programs']
+
+
+def explain(entry: str, program_id: str) -> dict:
+    """Return why a program waits, what it has spent and where it is."""
+    return _call('GET', entry, f'programs/{program_id}')
+
+
+def burn(entry: str) -> tuple[burn_rates.Rate, ...]:
+    """Return the service-level burn by contract and window."""
+    rows = _call('GET', entry, 'burn')['rates']
+    return tuple(burn_rates.Rate(**row) for row in rows)
+
+
+def _call(method, entry, path, body=None):
+    return asyncio.run(_request(method, entry, path, body))
+
+
+async def _request(method, entry, path, body):
+    url = f'http://{entry}/v1/operator/{path}'
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        try:
+            async with session.request(method, url, json=body) as response:
+                answer = await response.json(content_type=None)
+                if response.status >= 400:
+                    raise _refused(answer)
+                return answer
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise errors.Refused(
+                'entry_unreachable', 503, f'{entry}: {error}', 'unknown'
+            ) from error
+
+
+def _refused(answer):
+    return errors.Refused(
+        answer['code'],
+        answer['status'],
+        answer['detail'],
+        answer['ran'],
+        answer['retry_after_s'],
+    )
--- a/balsamdale/route.py
+++ b/balsamdale/route.py
@@ -11,6 +11,7 @@
 SAMPLE = 2
 SAMPLE_ABOVE = 24
 STAY_S = 0.25
+PREFILL_WEIGHT = 8.0
 
 
 def candidates(
@@ -46,12 +47,14 @@
 ) -> messages.Quote | None:
     """Return the quote with the earliest finish.
 
-    The home server wins unless another one is earlier by `STAY_S`; other
-    ties are broken at random, so that owners do not move as a herd.
+    Prefill counts more than once, since it takes slot time from other
+    programs. The home server wins unless another one is earlier by `STAY_S`;
+    other ties are broken at random, so that owners do not move as a herd.
     """
 
     def key(quote):
         bonus_s = STAY_S if quote.server == home else 0.0
-        return (quote.finish_s - bonus_s, generator.random())
+        cost_s = quote.finish_s + PREFILL_WEIGHT * quote.prefill_s
+        return (cost_s - bonus_s, generator.random())
 
     return min(quotes, key=key, default=None)
--- a/balsamdale/settings.py
+++ b/balsamdale/settings.py
@@ -1,7 +1,6 @@
 """Access to the local settings of one instance."""
 
 import dataclasses
-import ipaddress
 import pathlib
 
 from balsamdale import findings
@@ -55,24 +54,12 @@
 
 def _check(document, settings):
     for key in ('entry_address', 'link_address'):
-        check_address(document, key, getattr(settings, key))
+        document.check_address(key, getattr(settings, key))
     for address in settings.key_value_addresses:
-        check_address(document, 'key_value_addresses', address)
+        document.check_address('key_value_addresses', address)
     if not settings.key_value_addresses:
         document.add('key_value_addresses', 'needs at least one address')
     if settings.log_level not in ('info', 'debug'):
         document.add('log_level', "must be 'info' or 'debug'")
     if settings.key_file and not pathlib.Path(settings.key_file).is_file():
         document.add('key_file', 'no such file')
-
-
-def check_address(document: findings.Document, key: str, address: str) -> None:
-    """Record a finding unless an address is an IP number and a port."""
-    host, _, port = address.rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        document.add(key, f'{address!r} needs an IP number and a port')
-        return
-    if not port.isdigit() or not 0 < int(port) < 65536:
-        document.add(key, f'{address!r} has no valid port')
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,94 @@
+"""Tests of the membership: verdicts, refutations and spreading."""
+
+import random
+
+from balsamdale import membership
+from balsamdale import messages
+
+
+def make(count=5, own=0):
+    """Return a membership that knows a number of live instances."""
+    instances = [
+        membership.Instance(f'i{n}', f'd{n % 3}', '', '') for n in range(count)
+    ]
+    held = membership.Membership(instances[own], 1, '', random.Random(1))
+    for instance in instances:
+        held.learn(instance)
+        held.merge(update(instance.instance_id))
+    held.updates()
+    return held
+
+
+def update(name, incarnation=1, status='alive'):
+    """Return what is known of an instance."""
+    return messages.MemberUpdate(name, incarnation, status, '')
+
+
+def silence(held, peer_id, seconds):
+    """Let time pass; every watched peer but one answers."""
+    effects = []
+    now_s = 0.0
+    while now_s <= seconds:
+        effects += held.tick(now_s)
+        for name in held.reachable():
+            if name != peer_id:
+                held.heard(name, (), now_s)
+        now_s += membership.PING_INTERVAL_S
+    return effects
+
+
+def watched(held):
+    """Return the peers that are pinged at every tick."""
+    return held._watched()
+
+
+def test_a_silent_successor_is_probed_then_declared_dead():
+    held = make()
+    victim = watched(held)[0]
+    effects = silence(held, victim, 3.0)
+    probes = [e for e in effects if isinstance(e, membership.SendProbe)]
+    assert {probe.target_id for probe in probes} == {victim}
+    assert membership.Changed(victim, 'dead') in effects
+    assert held.status(victim) == 'dead'
+
+
+def test_a_voucher_prevents_the_verdict():
+    held = make()
+    victim = watched(held)[0]
+    silence(held, victim, 1.0)
+    held.vouched(victim, 1.1)
+    assert held.status(victim) == 'alive'
+
+
+def test_a_wrongly_suspected_instance_refutes():
+    held = make()
+    held.merge(update('i0', 1, 'dead'))
+    assert held.status('i0') == 'alive'
+    own = next(u for u in held.updates() if u.instance_id == 'i0')
+    assert own.incarnation == 2
+
+
+def test_news_of_an_older_incarnation_changes_nothing():
+    held = make()
+    held.merge(update('i1', 3))
+    assert not held.merge(update('i1', 2, 'dead'))
+    assert held.status('i1') == 'alive'
+
+
+def test_each_change_is_sent_a_bounded_number_of_times():
+    held = make()
+    held.merge(update('i1', 2, 'leaving'))
+    sent = sum(
+        any(u.instance_id == 'i1' for u in held.updates()) for _ in range(200)
+    )
+    assert 0 < sent < 40
+
+
+def test_the_cost_of_a_tick_does_not_grow_with_the_fleet():
+    for count in (5, 50, 500):
+        pings = [
+            e
+            for e in make(count).tick(0.0)
+            if isinstance(e, membership.SendPing)
+        ]
+        assert len(pings) == membership.SUCCESSORS + 1
