Bound the poisoned request's retries in the measurement

Change: its caller sends it again every 20 s, 20 times; grants are renewed once a second as owners do, not at every event.

--- a/harness/measure/policies.py
+++ b/harness/measure/policies.py
@@ -143,6 +143,7 @@
         self.crashes = quarantine.Quarantine()
         self.next_id = itertools.count()
         self.decisions = 0
+        self.renewed_at_s = 0.0
 
     def submit(self, run, now_s):
         if self.crashes.holds(run.program):
@@ -158,12 +159,12 @@
 
     def poll(self, now_s):
         effects = []
+        if now_s - self.renewed_at_s >= dispatch.LEASE_S / 3:
+            self._renew(now_s)
         for name, queue in self.queues.items():
             engine = self.engines[name]
             if not engine.is_up:
                 continue
-            for grant_id in [r.grant_id for r in engine.running.values()]:
-                queue.renew(grant_id, now_s)
             for effect in queue.poll(now_s):
                 self.decisions += 1
                 if isinstance(effect, dispatch.Granted):
@@ -177,6 +178,13 @@
                     engine.drop(effect.program_id, now_s)
         return effects
 
+    def _renew(self, now_s):
+        """Renew every grant, as owners do."""
+        self.renewed_at_s = now_s
+        for name, engine in self.engines.items():
+            for run in engine.running.values():
+                self.queues[name].renew(run.grant_id, now_s)
+
     def finished(self, run, engine, now_s):
         self.runs.pop(run.grant_id, None)
         tokens = run.call.prompt_tokens + run.call.answer_tokens
--- a/harness/measure/world.py
+++ b/harness/measure/world.py
@@ -16,6 +16,8 @@
 EXPECTED_ANSWER_TOKENS = 250
 RETRIES = 3
 DRAIN_FACTOR = 4.0
+POISON_RETRY_S = 20.0
+POISON_TRIES = 20
 FAULT_AT = 0.35
 FAULT_FOR = 0.15
 FAULTS = (
@@ -121,6 +123,7 @@
         self.good_tokens = 0
         self.met = self.due = 0
         self.poison = ''
+        self.poison_tries = 0
 
     def run(self) -> Result:
         """Run to the end and return the figures."""
@@ -308,7 +311,13 @@
                 self.scheduler.failed(run, engine, self.now_s)
         for run in lost + queue:
             self.retried += 1
-            self._at(self.now_s + 0.2, self._submit, run)
+            wait_s = 0.2
+            if run.program == self.poison:
+                wait_s = POISON_RETRY_S
+                self.poison_tries += 1
+                if self.poison_tries > POISON_TRIES:
+                    self.alive.pop(run.program, None)
+            self._at(self.now_s + wait_s, self._submit, run)
 
     def _restore(self, engine):
         engine.is_up = True
