Find dead processes by their broken connections; add golden sessions

Change: a broken connection starts ping and probes at once; pings every 0.8 s to 2 successors and 1 random peer instead of 0.3 s to 3 and 1; a stream moves when another owner announces the shard.

--- a/Makefile
+++ b/Makefile
@@ -41,5 +41,8 @@
 capacity: setup
 	@$(BIN)/python -m harness.capacity
 
+golden: setup
+	@PYTHONHASHSEED=0 $(BIN)/python -m pytest tests/test_golden.py --golden
+
 clean:
 	rm -rf .venv build *.egg-info
--- a/balsamdale/desk.py
+++ b/balsamdale/desk.py
@@ -157,7 +157,7 @@
             turns=len(held.turns),
             spent_tokens=held.spent_tokens,
             budget_tokens=held.created.budget_tokens,
-            copies=self._shard(held.id).copies(),
+            copies=self._owned.copies(placement.shard_of(held.id)),
             waiting_for=self._owner.waiting_for.get(held.id, ''),
         )
 
@@ -170,7 +170,7 @@
             owner_id=shard.instance_id,
             shard=shard.number,
             epoch=shard.epoch,
-            copies=shard.copies(),
+            copies=self._owned.copies(shard.number),
             budget_tokens=held.created.budget_tokens,
             spent_tokens=held.spent_tokens,
             reserved_tokens=held.reserved_tokens,
--- a/balsamdale/forward.py
+++ b/balsamdale/forward.py
@@ -77,7 +77,8 @@
         for attempt in range(1, TRIES + 1):
             try:
                 owner_id = await self._owned.find(number)
-                async for reply in self._links.stream(owner_id, message):
+                replies = self._links.stream(owner_id, message)
+                async for reply in self._watched(number, owner_id, replies):
                     if isinstance(reply, messages.NotOwnerReply):
                         self._note_owner(reply)
                         break
@@ -97,6 +98,25 @@
             await asyncio.sleep(retry.delay_s(attempt, self._generator))
         raise _unreachable()
 
+    async def _watched(self, number, owner_id, replies):
+        """Yield replies until another instance announces the shard."""
+        try:
+            while True:
+                pending = asyncio.ensure_future(anext(replies))
+                moved = self._owned.moved(number, owner_id)
+                await asyncio.wait(
+                    {pending, moved}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not pending.done():
+                    await _cancel(pending)
+                    raise errors.LinkTimeout(owner_id, 'the shard moved')
+                moved.cancel()
+                yield pending.result()
+        except StopAsyncIteration:
+            return
+        finally:
+            await replies.aclose()
+
     def _note_owner(self, reply):
         if reply.owner_id:
             known = self._owned.owners().get(reply.shard, (0, ''))
@@ -105,6 +125,11 @@
             self._owned.unlearn(reply.shard)
 
 
+async def _cancel(pending):
+    pending.cancel()
+    await asyncio.wait({pending})
+
+
 def _advance(message, reply):
     """Let a repeated message go on behind what was delivered."""
     if not isinstance(message, (messages.SubmitTurn, messages.FetchTurn)):
--- a/balsamdale/heartbeat.py
+++ b/balsamdale/heartbeat.py
@@ -22,7 +22,7 @@
 INSTANCES_PREFIX = 'platform/instances/'
 LIST_INTERVAL_S = 10.0
 LIST_RETRY_S = 1.0
-PING_TIMEOUT_S = 0.6
+PING_TIMEOUT_S = 0.4
 
 
 def instance_value(instance: membership.Instance) -> bytes:
@@ -69,6 +69,7 @@
         links.serve(messages.Ping, self._on_ping)
         links.serve(messages.Probe, self._on_probe)
         links.serve(messages.PullMembers, self._on_pull)
+        links.on_broken = self._on_broken
 
     async def run(self) -> None:
         """Ping peers until cancelled."""
@@ -110,6 +111,17 @@
         self._members.learn(instance)
         self._links.set_peer(instance.instance_id, instance.link_address)
 
+    def _on_broken(self, peer_id):
+        """Suspect a peer whose connection broke, and judge it soon."""
+        effects = self._members.suspect(peer_id, self._clock())
+        if effects:
+            self.perform(effects)
+            loop = asyncio.get_running_loop()
+            loop.call_later(membership.VERDICT_S, self._judge_now)
+
+    def _judge_now(self):
+        self.perform(self._members.judge(self._clock()))
+
     async def _read_list(self):
         pairs, _ = await self._store.scan(INSTANCES_PREFIX)
         listed = set()
--- a/balsamdale/instance.py
+++ b/balsamdale/instance.py
@@ -355,7 +355,8 @@
 
     def _short_of_copies(self):
         return sum(
-            held.copies() < ownership.COPIES for held in self.owned.serving
+            self.owned.copies(held.number) < ownership.COPIES
+            for held in self.owned.serving
         )
 
     def _spawn(self, coroutine):
--- a/balsamdale/link.py
+++ b/balsamdale/link.py
@@ -53,10 +53,14 @@
 
     Args:
         instance_id: this instance.
+
+    Attributes:
+        on_broken: called with a peer whose connection broke.
     """
 
     def __init__(self, instance_id: str):
         self.instance_id = instance_id
+        self.on_broken: collections_abc.Callable[[str], None] = _ignore
         self._handlers: dict[type, Handler] = {}
 
     def serve(self, message_type: type, handler: Handler) -> None:
@@ -121,6 +125,10 @@
         return handler(sender_id, message)
 
 
+def _ignore(_peer_id):
+    return
+
+
 class MemoryNetwork:
     """Joins `MemoryLinks`; pairs of instances can be cut."""
 
@@ -281,8 +289,9 @@
                 socket.curve_publickey = self._keys.public
                 socket.curve_secretkey = self._keys.secret
                 socket.curve_serverkey = self._keys.public
+            dealer = _Dealer(socket, self, peer_id)
             socket.connect(f'tcp://{self._addresses[peer_id]}')
-            self._dealers[peer_id] = _Dealer(socket, self)
+            self._dealers[peer_id] = dealer
         return self._dealers[peer_id]
 
     def _drop(self, peer_id):
@@ -387,9 +396,12 @@
 class _Dealer:
     """The sending side of a connection to one peer."""
 
-    def __init__(self, socket, owner):
+    def __init__(self, socket, owner, peer_id):
         self._socket = socket
         self._owner = owner
+        self._peer_id = peer_id
+        self._monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        self._watching = asyncio.create_task(self._watch())
         self._ids = itertools.count(1)
         self._waiting: dict[int, asyncio.Queue] = {}
         self._reading = asyncio.create_task(self._read())
@@ -410,6 +422,9 @@
     def close(self):
         self._is_closed = True
         self._reading.cancel()
+        self._watching.cancel()
+        self._socket.disable_monitor()
+        self._monitor.close(0)
         self._socket.close(0)
 
     def _send(self, frame):
@@ -417,6 +432,12 @@
         sent = self._socket.send(frame, zmq.NOBLOCK)
         sent.add_done_callback(_note_dropped)
 
+    async def _watch(self):
+        """Report when the connection breaks, as at a peer's death."""
+        while True:
+            await self._monitor.recv_multipart()
+            self._owner.on_broken(self._peer_id)
+
     async def _read(self):
         while True:
             frame = await self._socket.recv()
--- a/balsamdale/membership.py
+++ b/balsamdale/membership.py
@@ -1,9 +1,9 @@
 """Access to the set of live instances.
 
-Each instance pings a few ring successors and one other peer. A successor
-that stays silent is probed through others before it counts as dead; a wrong
-verdict is harmless, because takeovers are fenced by epochs. Changes travel
-with the pings.
+Each instance pings a few ring successors and one other peer. A peer that
+stays silent, or whose connection broke, is pinged and probed through others
+before it counts as dead; a wrong verdict is harmless, because takeovers are
+fenced by epochs. Changes travel with the pings.
 """
 
 import dataclasses
@@ -21,10 +21,10 @@
     'SendProbe',
 ]
 
-PING_INTERVAL_S = 0.3
-SILENCE_S = 0.9
-VERDICT_S = 0.4
-SUCCESSORS = 3
+PING_INTERVAL_S = 0.8
+SILENCE_S = 2.0
+VERDICT_S = 0.5
+SUCCESSORS = 2
 PROBES = 2
 FANOUT = 3
 UPDATE_LIMIT = 8
@@ -152,15 +152,29 @@
 
     def tick(self, now_s: float) -> list:
         """Return the pings that are due, and verdicts on silent peers."""
-        effects = []
-        for peer_id in self._watched():
-            effects.append(SendPing(peer_id))
-            effects += self._judge(peer_id, now_s)
+        effects = [SendPing(peer_id) for peer_id in self._watched()]
+        effects += self.judge(now_s)
         others = self.reachable()
         if others:
             effects.append(SendPing(self._generator.choice(others)))
         return effects
 
+    def judge(self, now_s: float) -> list:
+        """Return probes and verdicts on silent and suspected peers."""
+        effects = []
+        for peer_id in {**dict.fromkeys(self._watched()), **self._probed_at_s}:
+            effects += self._judge(peer_id, now_s)
+        return effects
+
+    def suspect(self, peer_id: str, now_s: float) -> list:
+        """Handle a broken connection: ping the peer and ask others."""
+        known = self.status(peer_id) in ('alive', 'leaving')
+        if not known or peer_id in self._probed_at_s:
+            return []
+        self._heard_at_s[peer_id] = now_s - SILENCE_S
+        self._probed_at_s[peer_id] = now_s
+        return [SendPing(peer_id), *self._probe(peer_id)]
+
     def updates(self) -> tuple[messages.MemberUpdate, ...]:
         """Return what to send along with a ping.
 
--- a/balsamdale/ownership.py
+++ b/balsamdale/ownership.py
@@ -58,6 +58,7 @@
         self._commits: dict[int, list[tuple[int, asyncio.Future]]] = {}
         self._tasks: set[asyncio.Task] = set()
         self._owners: dict[int, tuple[int, str]] = {}
+        self._moves: dict[int, list[tuple[str, asyncio.Future]]] = {}
         self._missing_since_s: dict[str, float] = {}
         links.serve(messages.ShardOpened, self._on_opened)
 
@@ -78,6 +79,25 @@
         """Remember the owner of a shard unless a later one is known."""
         if epoch >= self._owners.get(number, (0, ''))[0]:
             self._owners[number] = (epoch, owner_id)
+            self._wake(number, owner_id)
+
+    def moved(self, number: int, owner_id: str) -> asyncio.Future:
+        """Return a future that is done once another owner is known."""
+        future = asyncio.get_running_loop().create_future()
+        self._moves.setdefault(number, []).append((owner_id, future))
+        future.add_done_callback(lambda done: self._drop_move(number, done))
+        return future
+
+    def _wake(self, number, owner_id):
+        for expected, future in list(self._moves.get(number, ())):
+            if owner_id and owner_id != expected and not future.done():
+                future.set_result(None)
+
+    def _drop_move(self, number, done):
+        rows = self._moves.get(number, [])
+        rows[:] = [row for row in rows if row[1] is not done]
+        if not rows:
+            self._moves.pop(number, None)
 
     def unlearn(self, number: int) -> None:
         """Forget an owner that no longer has the shard."""
@@ -150,6 +170,11 @@
         held = self._shards.get(number)
         return held is not None and held.serves
 
+    def copies(self, number: int) -> int:
+        """Return how many reachable folders hold all of a served shard."""
+        present = {folder.folder_id for folder in self.folders(leaving=True)}
+        return self._shards[number].copies(present)
+
     def is_writable(self, number: int) -> bool:
         """Tell whether enough journals of a served shard seem reachable."""
         if not self.serves(number):
--- a/balsamdale/shard.py
+++ b/balsamdale/shard.py
@@ -4,6 +4,7 @@
 them. It needs no clock, since epochs alone keep two owners apart.
 """
 
+from collections import abc as collections_abc
 import dataclasses
 
 import transitions
@@ -349,10 +350,11 @@
             if folder.folder_id not in self._silent
         ]
 
-    def copies(self) -> int:
-        """Return how many folders hold every entry."""
+    def copies(self, present: collections_abc.Collection[str]) -> int:
+        """Return how many of the folders present hold every entry."""
         return sum(
-            self._match.get(folder.folder_id, 0) >= len(self.log)
+            folder.folder_id in present
+            and self._match.get(folder.folder_id, 0) >= len(self.log)
             for folder in self.placed.folders
         )
 
--- a/harness/measure/__main__.py
+++ b/harness/measure/__main__.py
@@ -72,10 +72,11 @@
         print(line)
     summary = summarise(merged)
     RESULTS.mkdir(parents=True, exist_ok=True)
+    summary['decision_us'] = decision_us()
     _write(merged, summary)
     if plot:
         _plot(merged)
-    print(json.dumps({**summary, 'decision_us': decision_us()}))
+    print(json.dumps(summary))
 
 
 def merge(results: list[world.Result]) -> dict:
--- a/harness/measure/policies.py
+++ b/harness/measure/policies.py
@@ -134,10 +134,9 @@
         super().__init__(engines, generator)
         self.policy = policy
         self.affinity = affinity
-        self.queues = {
-            name: dispatch.Dispatcher(engine.server, policy, 0.0)
-            for name, engine in self.engines.items()
-        }
+        self.build_queue = dispatch.Dispatcher
+        self.queues: dict[str, dispatch.Dispatcher] = {}
+        self.rebuild()
         self.homes: dict[str, str] = {}
         self.runs: dict[str, object] = {}
         self.crashes = quarantine.Quarantine()
@@ -211,11 +210,18 @@
         waiting = [self.runs.pop(g) for g in queue.waiting_ids()]
         for run in waiting:
             queue.cancel(run.grant_id)
-        self.queues[engine.name] = dispatch.Dispatcher(
+        self.queues[engine.name] = self.build_queue(
             engine.server, self.policy, 0.0
         )
         return waiting
 
+    def rebuild(self) -> None:
+        """Make a fresh queue for each engine."""
+        self.queues = {
+            name: self.build_queue(engine.server, self.policy, 0.0)
+            for name, engine in self.engines.items()
+        }
+
     def _done(self, run, engine, tokens, now_s):
         done = messages.GrantDone(
             engine.name,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 def pytest_addoption(parser):
     """Add the options of the proofs."""
     parser.addoption('--mutate', default='', help='Break the build first.')
+    parser.addoption('--golden', action='store_true', help='Write anew.')
     parser.addoption('--seeds', type=int, default=0, help='Seeds a proof.')
 
 
--- /dev/null
+++ b/tests/storyteller.py
@@ -0,0 +1,165 @@
+"""Writes whole sessions as text: inputs and times in, every effect out."""
+
+import asyncio
+import functools
+
+from balsamdale import codec
+from balsamdale import errors
+from balsamdale import messages
+from balsamdale import records
+from tests import cluster
+from tests import virtual
+
+
+class Story:
+    """A session on a virtual clock, told line by line."""
+
+    def __init__(self):
+        self.lines = []
+        self.running = cluster.Cluster()
+        self._told = set()
+        self._start_s = 0.0
+
+    async def start(self):
+        """Start the cluster and listen to it."""
+        await self.running.start()
+        self._start_s = asyncio.get_running_loop().time()
+        self.running.on_entry = self._tell_entry
+        self.running.backends.note = lambda text: self.tell('server', text)
+
+    def tell(self, who, text):
+        """Add a line."""
+        now_s = asyncio.get_running_loop().time() - self._start_s
+        self.lines.append(f'{now_s:8.3f}  {who:8} {text}')
+
+    async def create(self, program_id, contract, budget_tokens=0):
+        """Create a program."""
+        self.tell('caller', f'creates {program_id} under {contract}')
+        await self.running.create(program_id, contract, budget_tokens)
+
+    async def turn(self, program_id, request_id, text):
+        """Run a turn and tell its end."""
+        self.tell('caller', f'{program_id} {request_id}: {text!r}')
+        await self._end(
+            f'{program_id} {request_id}',
+            self.running.turn(program_id, request_id, text),
+        )
+
+    async def request(self, service, request_id, text):
+        """Send a plain request and tell its end."""
+        self.tell('caller', f'{service} {request_id}: {text!r}')
+        await self._end(
+            f'{service} {request_id}',
+            self.running.request(service, request_id, text),
+        )
+
+    async def crash_owner(self, program_id):
+        """Kill the instance that owns a program."""
+        name = next(
+            name
+            for name, one in self.running.running.items()
+            if program_id in one.owner.programs
+        )
+        self.tell('fault', f'{name}, the owner of {program_id}, is killed')
+        self.running.crash(name)
+
+    async def _end(self, name, answering):
+        try:
+            reply = await answering
+        except errors.Refused as refused:
+            self._tell_refusal(name, refused)
+            return
+        if reply.outcome == 'ok':
+            self.tell('answer', f'{name}: {reply.text[:60]!r}')
+        else:
+            self._tell_refusal(name, reply)
+
+    def _tell_refusal(self, name, reply):
+        when = ''
+        if reply.retry_after_s is not None:
+            when = f', come back in {reply.retry_after_s:g} s'
+        self.tell('answer', f'{name}: {reply.code}, ran {reply.ran}{when}')
+
+    def _tell_entry(self, entry):
+        key = (entry.program_id, entry.epoch, entry.sequence)
+        if key not in self._told:
+            self._told.add(key)
+            self.tell('journal', describe(codec.decode(entry.body)))
+
+
+@functools.singledispatch
+def describe(record) -> str:
+    """Return a record in one line."""
+    raise TypeError(type(record).__name__)
+
+
+@describe.register
+def _(record: records.EpochStarted):
+    return f'epoch {record.epoch} of {record.owner_id}'
+
+
+@describe.register
+def _(record: records.ProgramCreated):
+    return f'{record.program_id} created, budget {record.budget_tokens}'
+
+
+@describe.register
+def _(record: records.CallAccepted):
+    return f'{record.program_id} turn {record.turn} accepted'
+
+
+@describe.register
+def _(record: records.StepStarted):
+    kind = (
+        record.kind if record.idempotent else f'non-idempotent {record.kind}'
+    )
+    return (
+        f'{record.program_id} turn {record.turn} step {record.step} starts: '
+        f'{kind} {record.target} on {record.server or "itself"}, '
+        f'reserves {record.reserved_tokens}'
+    )
+
+
+@describe.register
+def _(record: records.StepFinished):
+    return (
+        f'{record.program_id} turn {record.turn} step {record.step} '
+        f'{record.outcome}, charges {record.charged_tokens}'
+    )
+
+
+@describe.register
+def _(record: records.AnswerReady):
+    return (
+        f'{record.program_id} turn {record.turn} final: {record.code}, '
+        f'ran {record.ran}'
+    )
+
+
+@describe.register
+def _(record: records.ProgramEnded):
+    return f'{record.program_id} ended by {record.reason}'
+
+
+@describe.register
+def _(record: records.CacheReleased):
+    return f'{record.program_id} released by {record.server}'
+
+
+def tell(script) -> str:
+    """Run a script and return its story."""
+
+    async def main():
+        story = Story()
+        await story.start()
+        await script(story)
+        return story.lines
+
+    return '\n'.join(virtual.run(main())) + '\n'
+
+
+async def end_and_wait(story, program_id):
+    """End a program and wait until its cache is released."""
+    story.tell('caller', f'ends {program_id}')
+    await story.running.call(program_id, messages.EndProgram(program_id))
+    await asyncio.sleep(3)
