--- a/balsamdale/console.py
+++ b/balsamdale/console.py
@@ -167,7 +167,7 @@
         if head is None or not head.previous:
             raise errors.Refused('nothing_to_undo', 409, 'no change before')
         text = await configuration.fetch(self._store, head.previous)
-        return plan.Declare(text)
+        return plan.Undo(text, head.summary)
 
     async def _affected(self):
         lists = await self._instance.ask_all(messages.ListPrograms())
--- a/balsamdale/plan.py
+++ b/balsamdale/plan.py
@@ -25,6 +25,7 @@
     'ReturnDomain',
     'ReturnServer',
     'SetBudget',
+    'Undo',
     'parse_intent',
     'prepare',
 ]
@@ -40,6 +41,14 @@
     text: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Undo:
+    """Put the declaration before the last change in force again."""
+
+    text: str
+    undone: str
+
+
 @dataclasses.dataclass(frozen=True)
 class DrainServer:
     """Let a backend server finish and send it nothing new."""
@@ -78,6 +87,7 @@
 
 Intent = (
     Declare
+    | Undo
     | DrainServer
     | ReturnServer
     | DrainDomain
@@ -207,6 +217,11 @@
     return intent.text
 
 
+@rewrite.register
+def _(intent: Undo, text):
+    return intent.text
+
+
 @rewrite.register
 def _(intent: DrainServer, text):
     return _set_state(text, 'leaving', lambda s: s['name'] == intent.server)
@@ -250,6 +265,11 @@
     return 'put a declaration in force'
 
 
+@summary.register
+def _(intent: Undo):
+    return f'undo: {intent.undone}'
+
+
 @summary.register
 def _(intent: DrainServer):
     return f'drain backend server {intent.server}'
@@ -326,11 +346,10 @@
     for service in old.services:
         before = _slots(old, service.name)
         after = _slots(new, service.name)
-        if 0 < after < before * LOW_SHARE:
-            yield (
-                f'{service.name} keeps {after} of {before} slots: expect '
-                f'queues and refused calls'
-            )
+        if 0 < after < before:
+            low = after < before * LOW_SHARE
+            outlook = ': expect queues and refused calls' if low else ''
+            yield f'{service.name} keeps {after} of {before} slots{outlook}'
 
 
 def _capacity(old, new):
@@ -338,7 +357,7 @@
         for domain in old.failure_domains:
             before = _slots(old, service.name, domain.name)
             after = _slots(new, service.name, domain.name)
-            if before:
+            if before or after:
                 yield f'{service.name} in {domain.name}: {before} -> {after}'
 
 
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -20,6 +20,15 @@
     assert 'forecast in hall-gent: 16 -> 0' in made.capacity
     assert 'forecast in hall-leuven: 16 -> 16' in made.capacity
     assert made.base_revision == 7 and made.expires_at_s > 100.0
+    assert 'forecast keeps 24 of 40 slots' in made.dangers
+
+
+def test_a_returned_domain_shows_the_capacity_gained():
+    text = plan.rewrite(plan.DrainDomain('hall-gent'), TEXT)
+    undo = plan.Undo(TEXT, 'drain failure domain hall-gent')
+    made = plan.prepare(undo, text, 8, (), 'id', 'anke', 0.0)
+    assert 'forecast in hall-gent: 0 -> 16' in made.capacity
+    assert made.summary == 'undo: drain failure domain hall-gent'
 
 
 def test_the_last_server_of_a_service_is_the_first_danger():
