Split large modules and name what needed explaining

Cause: read with a newcomer's eyes, owner and link were the largest modules and held two things each; effects of a shard were looked up in a table that was built anew for every effect. Ruled out: splitting dispatch and messages, which hold one thing each. No behaviour changes. Conclusion: owner is still long; its sub-agents would be the next part out.

--- a/balsamdale/daemon.py
+++ b/balsamdale/daemon.py
@@ -15,8 +15,8 @@
 from balsamdale import instance
 from balsamdale import journal
 from balsamdale import keyvalue
-from balsamdale import link
 from balsamdale import settings
+from balsamdale import zeromq
 
 __all__ = ['main']
 
@@ -60,10 +60,10 @@
 
 
 def _parts(given):
-    keys = link.KeyPair.load(given.key_file) if given.key_file else None
+    keys = zeromq.KeyPair.load(given.key_file) if given.key_file else None
     folder = given.data_folder
     return instance.Parts(
-        links=link.ZeroMQLinks(given.instance_id, given.link_address, keys),
+        links=zeromq.ZeroMQLinks(given.instance_id, given.link_address, keys),
         store=keyvalue.EtcdKeyValue(given.key_value_addresses),
         backends=backend.HttpBackends(),
         journal=journal.DiskJournal(folder) if folder else None,
--- a/balsamdale/desk.py
+++ b/balsamdale/desk.py
@@ -20,17 +20,17 @@
     Args:
         links: where the messages come from.
         owned: the shards of this instance.
-        owner_: the programs of those shards.
+        programs: the programs of those shards.
     """
 
     def __init__(
         self,
         links: link.Links,
         owned: ownership.Ownership,
-        owner_: owner.Owner,
+        programs: owner.Owner,
     ):
         self._owned = owned
-        self._owner = owner_
+        self._owner = programs
         self.is_leaving = False
         links.serve(messages.CreateProgram, self._create)
         links.serve(messages.SubmitTurn, self._submit)
--- a/balsamdale/owner.py
+++ b/balsamdale/owner.py
@@ -30,11 +30,11 @@
 from balsamdale import records
 from balsamdale import retry
 from balsamdale import shard
+from balsamdale import turns
 
 __all__ = ['Owner', 'Surroundings']
 
 RELEASE_RETRY_S = 0.5
-BYTES_PER_TOKEN = 4
 COMMIT_TIMEOUT_S = 4.0
 
 
@@ -267,7 +267,7 @@
             raise errors.Refused(
                 'request_id_reused', 422, 'same request id, another body'
             )
-        if turn is not None and not _may_repeat(turn):
+        if turn is not None and not turns.may_repeat(turn):
             return []
         self._check_quarantine(message.digest)
         if held.ended is not None:
@@ -305,9 +305,9 @@
             stream = answer.Answer()
             ready = held.turns[number].answer
             if ready is not None:
-                stream.start(_last_engine_step(held.turns[number]))
+                stream.start(turns.answer_step(held.turns[number]))
                 stream.write(ready.text)
-                stream.finish(_final(ready))
+                stream.finish(turns.final_event(ready))
                 return stream
             self._answers[key] = stream
         return stream
@@ -424,7 +424,7 @@
             return action
         left_s = self._left_s(held, turn)
         if left_s is not None and left_s <= 0:
-            return _late(turn)
+            return turns.late_ending(turn)
         return action
 
     async def _finish(self, held, turn, action):
@@ -441,7 +441,7 @@
         await self._record(ready)
         stream = self._answers.pop((held.id, ready.turn), None)
         if stream is not None:
-            stream.finish(_final(ready))
+            stream.finish(turns.final_event(ready))
         if held.is_request:
             await self.end(held.id, 'answered')
 
@@ -467,7 +467,7 @@
                 await self._finish_agent(held, turn)
                 turn = self._turn_now(held, turn)
             if turn.answer is None:
-                await self._finish(held, turn, _late(turn))
+                await self._finish(held, turn, turns.late_ending(turn))
 
     def _turn_now(self, held, turn):
         return self.programs[held.id].turns[turn.accepted.turn]
@@ -643,7 +643,7 @@
         await self._commit(
             started.target, functools.partial(_create_agent, created)
         )
-        task = _task_of(turn, started)
+        task = turns.task_of(turn, started)
         submitted = messages.SubmitTurn(
             started.target,
             held.created.caller,
@@ -671,11 +671,11 @@
         return grant.Demand(
             service=action.service,
             program_id=held.id,
-            home=_home(held) if is_engine else '',
+            home=turns.home_of(held) if is_engine else '',
             priority=priority,
             slack_s=-1.0 if left_s is None else max(0.0, left_s),
             attained_tokens=held.spent_tokens,
-            prompt_tokens=_expected_tokens(action) if is_engine else 0,
+            prompt_tokens=turns.expected_tokens(action) if is_engine else 0,
             answer_tokens=action.answer_tokens if is_engine else 0,
             suspect=self._around.quarantine.suspects(turn.accepted.digest),
         )
@@ -778,59 +778,6 @@
     return [created] if held is None else []
 
 
-def _may_repeat(turn):
-    """Tell whether a turn was refused unrun and may be tried again."""
-    ready = turn.answer
-    if ready is None or ready.ran != 'no':
-        return False
-    return ready.retry_after_s is not None
-
-
-def _final(ready):
-    return messages.AnswerFinal(
-        ready.turn,
-        ready.outcome,
-        ready.code,
-        ready.text,
-        ready.ran,
-        ready.retry_after_s,
-    )
-
-
-def _late(turn):
-    return program.Finish('failed', 'deadline_exceeded', '', program.ran(turn))
-
-
-def _home(held):
-    """Return the engine that ran the program's last model call."""
-    for turn in reversed(held.turns):
-        for step in reversed(turn.steps):
-            if step.started.kind == 'engine':
-                return step.started.server
-    return ''
-
-
-def _last_engine_step(turn):
-    """Return the step that wrote a turn's answer; -1 where none did."""
-    steps = (s.started for s in turn.steps if s.started.kind == 'engine')
-    return max((started.step for started in steps), default=-1)
-
-
-def _expected_tokens(action):
-    size_bytes = sum(len(str(m.get('content'))) for m in action.messages)
-    return size_bytes // BYTES_PER_TOKEN + 1
-
-
-def _task_of(turn, started):
-    for step in turn.steps:
-        if step.finished is None:
-            continue
-        for call in step.finished.tool_calls:
-            if call.call_id == started.call_id:
-                return program.task_of(call)
-    return ''
-
-
 async def _last(stream):
     async for event in stream:
         if isinstance(event, messages.AnswerFinal):
--- a/balsamdale/ownership.py
+++ b/balsamdale/ownership.py
@@ -351,26 +351,48 @@
 
     def _perform(self, held, effects):
         for effect in effects:
-            self._do(held, effect)
-
-    def _do(self, held, effect):
-        handlers = {
-            shard.SwapKey: self._swap,
-            shard.ReadKey: self._read_key,
-            shard.SendSeal: self._send_seal,
-            shard.SendRead: self._send_read,
-            shard.SendAppend: self._send_append,
-            shard.SendDrop: self._send_drop,
-        }
-        handler = handlers.get(type(effect))
-        if handler is not None:
-            self._spawn(handler(held, effect))
-        elif isinstance(effect, shard.Committed):
-            self._on_committed(held, effect.length)
-        elif isinstance(effect, shard.Opened):
-            self._on_open(held)
-        else:
-            self._on_lost(held)
+            self._do(effect, held)
+
+    @functools.singledispatchmethod
+    def _do(self, effect, held):
+        """Carry out one effect of a shard."""
+        raise TypeError(type(effect).__name__)
+
+    @_do.register
+    def _(self, effect: shard.SwapKey, held):
+        self._spawn(self._swap(held, effect))
+
+    @_do.register
+    def _(self, effect: shard.ReadKey, held):
+        self._spawn(self._read_key(held, effect))
+
+    @_do.register
+    def _(self, effect: shard.SendSeal, held):
+        self._spawn(self._send_seal(held, effect))
+
+    @_do.register
+    def _(self, effect: shard.SendRead, held):
+        self._spawn(self._send_read(held, effect))
+
+    @_do.register
+    def _(self, effect: shard.SendAppend, held):
+        self._spawn(self._send_append(held, effect))
+
+    @_do.register
+    def _(self, effect: shard.SendDrop, held):
+        self._spawn(self._send_drop(held, effect))
+
+    @_do.register
+    def _(self, effect: shard.Committed, held):
+        self._on_committed(held, effect.length)
+
+    @_do.register
+    def _(self, _effect: shard.Opened, held):
+        self._on_open(held)
+
+    @_do.register
+    def _(self, _effect: shard.Lost, held):
+        self._on_lost(held)
 
     async def _swap(self, held, effect):
         if self._shards.get(held.number) is held:
--- /dev/null
+++ b/balsamdale/turns.py
@@ -0,0 +1,74 @@
+"""Access to what an owner reads off a turn."""
+
+from balsamdale import messages
+from balsamdale import program
+from balsamdale import records
+
+__all__ = [
+    'answer_step',
+    'expected_tokens',
+    'final_event',
+    'home_of',
+    'late_ending',
+    'may_repeat',
+    'task_of',
+]
+
+BYTES_PER_TOKEN = 4
+
+
+def may_repeat(turn: program.Turn) -> bool:
+    """Tell whether a turn was refused unrun and may be tried again."""
+    ready = turn.answer
+    if ready is None or ready.ran != 'no':
+        return False
+    return ready.retry_after_s is not None
+
+
+def final_event(ready: records.AnswerReady) -> messages.AnswerFinal:
+    """Return the event that ends a caller's stream."""
+    return messages.AnswerFinal(
+        ready.turn,
+        ready.outcome,
+        ready.code,
+        ready.text,
+        ready.ran,
+        ready.retry_after_s,
+    )
+
+
+def late_ending(turn: program.Turn) -> program.Finish:
+    """Return the end of a turn whose deadline has passed."""
+    return program.Finish('failed', 'deadline_exceeded', '', program.ran(turn))
+
+
+def home_of(held: program.Program) -> str:
+    """Return the engine that ran the program's last model call."""
+    for turn in reversed(held.turns):
+        for step in reversed(turn.steps):
+            if step.started.kind == 'engine':
+                return step.started.server
+    return ''
+
+
+def answer_step(turn: program.Turn) -> int:
+    """Return the step that wrote a turn's answer; -1 where none did."""
+    steps = (s.started for s in turn.steps if s.started.kind == 'engine')
+    return max((started.step for started in steps), default=-1)
+
+
+def expected_tokens(action: program.CallEngine) -> int:
+    """Estimate a prompt; `action.prompt_tokens` bounds it."""
+    size_bytes = sum(len(str(m.get('content'))) for m in action.messages)
+    return size_bytes // BYTES_PER_TOKEN + 1
+
+
+def task_of(turn: program.Turn, started: records.StepStarted) -> str:
+    """Return the task of the sub-agent that a step runs."""
+    for step in turn.steps:
+        if step.finished is None:
+            continue
+        for call in step.finished.tool_calls:
+            if call.call_id == started.call_id:
+                return program.task_of(call)
+    return ''
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -9,6 +9,7 @@
 from balsamdale import errors
 from balsamdale import link
 from balsamdale import messages
+from balsamdale import zeromq
 from harness import fleet
 
 
@@ -23,10 +24,10 @@
         )
         return
     _, path = zmq.auth.create_certificates(tmp_path, 'test')
-    keys = link.KeyPair.load(path)
+    keys = zeromq.KeyPair.load(path)
     addresses = [f'127.0.0.1:{port}' for port in fleet.free_ports(2)]
-    first = link.ZeroMQLinks('a', addresses[0], keys)
-    second = link.ZeroMQLinks('b', addresses[1], keys)
+    first = zeromq.ZeroMQLinks('a', addresses[0], keys)
+    second = zeromq.ZeroMQLinks('b', addresses[1], keys)
     first.set_peer('b', addresses[1])
     second.set_peer('a', addresses[0])
     try:
@@ -100,11 +101,11 @@
             second.serve(messages.FetchTurn, _count)
             (tmp_path / 'other').mkdir()
             _, path = zmq.auth.create_certificates(tmp_path / 'other', 'x')
-            foreign = link.KeyPair.load(path)
-            stranger = link.ZeroMQLinks(
+            foreign = zeromq.KeyPair.load(path)
+            stranger = zeromq.ZeroMQLinks(
                 'c',
                 f'127.0.0.1:{fleet.free_ports(1)[0]}',
-                link.KeyPair(foreign.public, foreign.secret),
+                zeromq.KeyPair(foreign.public, foreign.secret),
             )
             stranger.set_peer('b', first._addresses['b'])
             with pytest.raises(errors.LinkTimeout):
