Use the field's names for four things that had their own

Cause: desk, turned, surroundings and story are words of ours; a newcomer has to ask. Ruled out: renaming grant and park, which the glossary maps. Change: endpoint, rejected, context and transcript. No behaviour changes. Conclusion: done; the glossary needs no entry for them.

--- a/balsamdale/dispatch.py
+++ b/balsamdale/dispatch.py
@@ -10,7 +10,7 @@
 from balsamdale import declaration
 from balsamdale import messages
 
-__all__ = ['Dispatcher', 'Granted', 'Park', 'Policy', 'Turned']
+__all__ = ['Dispatcher', 'Granted', 'Park', 'Policy', 'Rejected']
 
 LEASE_S = 3.0
 HOLD_WEIGHT = 0.1
@@ -65,7 +65,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Turned:
+class Rejected:
     """A queued request is refused; it did not run."""
 
     grant_id: str
@@ -185,7 +185,7 @@
 
     def request(
         self, request: messages.GrantRequest, now_s: float
-    ) -> list[Turned]:
+    ) -> list[Rejected]:
         """Queue a request, or refuse it at once when it would be late."""
         if request.grant_id in self._running:
             return []
@@ -244,7 +244,7 @@
             self._hold_s += (lasted_s - self._hold_s) * HOLD_WEIGHT
             self._set_open(program_id, None)
 
-    def poll(self, now_s: float) -> list[Granted | Turned | Park]:
+    def poll(self, now_s: float) -> list[Granted | Rejected | Park]:
         """Grant, refuse and park whatever is due."""
         self._lapse(now_s)
         effects = list(self._expire(now_s))
@@ -428,9 +428,9 @@
         is_new = request.attained_tokens == 0 and resident == 0
         wait_s = self._queue_wait_s(request, now_s)
         if is_new and wait_s > self.policy.backlog_s:
-            return Turned(request.grant_id, 'overloaded', wait_s)
+            return Rejected(request.grant_id, 'overloaded', wait_s)
         if 0 <= request.slack_s < wait_s + service_s and is_new:
-            return Turned(request.grant_id, 'would_be_late', wait_s)
+            return Rejected(request.grant_id, 'would_be_late', wait_s)
         return None
 
     def _queue_wait_s(self, request, now_s):
@@ -499,4 +499,4 @@
         for waiting in expired:
             grant_id = waiting.request.grant_id
             self._unqueue(grant_id)
-            yield Turned(grant_id, 'overloaded', self._slot_wait_s(now_s))
+            yield Rejected(grant_id, 'overloaded', self._slot_wait_s(now_s))
--- a/balsamdale/desk.py
+++ b/balsamdale/endpoint.py
@@ -11,10 +11,10 @@
 from balsamdale import placement
 from balsamdale import program
 
-__all__ = ['Desk']
+__all__ = ['Endpoint']
 
 
-class Desk:
+class Endpoint:
     """Message handlers of one owner.
 
     Args:
--- a/balsamdale/entry.py
+++ b/balsamdale/entry.py
@@ -111,7 +111,9 @@
         return web.json_response({'instance': name})
 
     async def _readyz(self, _request):
-        is_ready = self._relay.is_ready and not self._instance.desk.is_leaving
+        is_ready = (
+            self._relay.is_ready and not self._instance.endpoint.is_leaving
+        )
         status = 200 if is_ready else 503
         return web.json_response({'ready': is_ready}, status=status)
 
--- a/balsamdale/grant.py
+++ b/balsamdale/grant.py
@@ -142,8 +142,8 @@
             return
         future = asyncio.get_running_loop().create_future()
         self._waiting[message.grant_id] = future
-        for turned in queue.request(message, self._clock()):
-            self._settle(turned.grant_id, _refusal(turned))
+        for rejected in queue.request(message, self._clock()):
+            self._settle(rejected.grant_id, _refusal(rejected))
         self._poll(queue)
         try:
             yield await future
@@ -174,7 +174,7 @@
         for effect in queue.poll(self._clock()):
             if isinstance(effect, dispatch.Granted):
                 self._grant(queue.server, effect)
-            elif isinstance(effect, dispatch.Turned):
+            elif isinstance(effect, dispatch.Rejected):
                 self._settle(effect.grant_id, _refusal(effect))
             else:
                 self._spawn(self._park(queue.server, effect))
@@ -211,13 +211,13 @@
         task.add_done_callback(self._parking.discard)
 
 
-def _refusal(turned):
+def _refusal(rejected):
     return messages.Refusal(
-        code=turned.code,
+        code=rejected.code,
         status=503,
         detail='the queue is too long for this request',
         ran='no',
-        retry_after_s=max(1.0, round(turned.retry_after_s, 1)),
+        retry_after_s=max(1.0, round(rejected.retry_after_s, 1)),
     )
 
 
--- a/balsamdale/instance.py
+++ b/balsamdale/instance.py
@@ -10,7 +10,7 @@
 
 from balsamdale import backend
 from balsamdale import configuration
-from balsamdale import desk
+from balsamdale import endpoint
 from balsamdale import errors
 from balsamdale import forward
 from balsamdale import grant
@@ -128,7 +128,7 @@
             self._generator,
         )
         self.owner = owner.Owner(
-            owner.Surroundings(
+            owner.Context(
                 backends=self._backends,
                 grants=grants,
                 declared=self.relay.declared,
@@ -146,7 +146,7 @@
             self.owner.lost,
         )
         self.owner.owned = self.owned
-        self.desk = desk.Desk(self.links, self.owned, self.owner)
+        self.endpoint = endpoint.Endpoint(self.links, self.owned, self.owner)
 
     def _serve_messages(self):
         self.links.serve(messages.ReportCrash, self._on_crash)
@@ -201,7 +201,7 @@
     async def leave(self) -> None:
         """Prepare a planned stop: finish what is in flight, hand over."""
         logging.info('instance: leaving')
-        self.desk.is_leaving = True
+        self.endpoint.is_leaving = True
         self.heartbeat.perform(self.members.leave())
         await self._drain()
         numbers = [held.number for held in self.owned.serving]
@@ -271,7 +271,7 @@
         return
 
     def _changed(self, instance_id, status):
-        if status != 'dead' or self.desk.is_leaving:
+        if status != 'dead' or self.endpoint.is_leaving:
             return
         for number, (_, owner_id) in self.owned.owners().items():
             mine = self.owned.preferred(number) == self.settings.instance_id
--- a/balsamdale/owner.py
+++ b/balsamdale/owner.py
@@ -32,14 +32,14 @@
 from balsamdale import shard
 from balsamdale import turns
 
-__all__ = ['Owner', 'Surroundings']
+__all__ = ['Owner', 'Context']
 
 RELEASE_RETRY_S = 0.5
 COMMIT_TIMEOUT_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True)
-class Surroundings:
+class Context:
     """What an owner works with.
 
     Attributes:
@@ -65,11 +65,11 @@
     """Runs programs.
 
     Args:
-        around: what the owner works with.
+        context: what the owner works with.
     """
 
-    def __init__(self, around: Surroundings):
-        self._around = around
+    def __init__(self, context: Context):
+        self._context = context
         self.owned: ownership.Ownership | None = None
         self.programs: dict[str, program.Program] = {}
         self.waiting_for: dict[str, str] = {}
@@ -126,7 +126,7 @@
         Raises:
             Refused: the terms are not valid, or differ from the program's.
         """
-        declared = self._around.declared()
+        declared = self._context.declared()
         contract = declared.contract(message.contract)
         if contract is None:
             raise errors.Refused(
@@ -136,7 +136,7 @@
             raise errors.Refused(
                 'budget_too_large', 422, 'the contract allows less'
             )
-        now_s = self._around.clock()
+        now_s = self._context.clock()
         deadline_s = message.deadline_s
         created = records.ProgramCreated(
             program_id=message.program_id,
@@ -173,7 +173,7 @@
         Raises:
             Refused: the request is not taken; it did not run.
         """
-        declared = self._around.declared()
+        declared = self._context.declared()
         service = declared.service(message.service)
         if service is None or service.kind != 'plain':
             raise errors.Refused(
@@ -187,7 +187,7 @@
             contract='',
             budget_tokens=0,
             deadline_at_s=0.0,
-            created_at_s=self._around.clock(),
+            created_at_s=self._context.clock(),
         )
         await self._commit_call(
             program_id, functools.partial(_create_request, created)
@@ -213,8 +213,8 @@
         """Count the turns of the programs kept here, for the burn report."""
         return burn.count(
             list(self.programs.values()),
-            self._around.declared(),
-            self._around.clock(),
+            self._context.declared(),
+            self._context.clock(),
         )
 
     def find(self, program_id: str) -> program.Program:
@@ -255,7 +255,7 @@
         return held
 
     def _check_quarantine(self, digest):
-        if self._around.quarantine.holds(digest):
+        if self._context.quarantine.holds(digest):
             raise errors.Refused(
                 'quarantined', 422, 'this request crashes backend servers'
             )
@@ -280,14 +280,14 @@
             request_id=message.request_id,
             digest=message.digest,
             text=message.text,
-            accepted_at_s=self._around.clock(),
+            accepted_at_s=self._context.clock(),
         )
         return [accepted]
 
     def _end(self, reason, held):
         if held.ended is not None:
             return []
-        now_s = self._around.clock()
+        now_s = self._context.clock()
         return [records.ProgramEnded(held.id, reason, now_s)]
 
     def _join(self, program_id, request_id):
@@ -411,14 +411,14 @@
         await self._commit(program_id, self._closing)
 
     def _closing(self, held):
-        closing = program.close_open_step(held, self._around.clock())
+        closing = program.close_open_step(held, self._context.clock())
         return [] if closing is None else [closing]
 
     def _next_action(self, held, turn):
-        if self._around.quarantine.holds(turn.accepted.digest):
+        if self._context.quarantine.holds(turn.accepted.digest):
             return program.Finish('failed', 'quarantined', '', 'unknown')
         action = program.next_action(
-            held, turn, self._around.declared(), self._around.clock()
+            held, turn, self._context.declared(), self._context.clock()
         )
         if isinstance(action, program.Finish):
             return action
@@ -436,7 +436,7 @@
             text=action.text,
             ran=action.ran,
             retry_after_s=action.retry_after_s,
-            finished_at_s=self._around.clock(),
+            finished_at_s=self._context.clock(),
         )
         await self._record(ready)
         stream = self._answers.pop((held.id, ready.turn), None)
@@ -483,12 +483,12 @@
         await self._pause_before_retry(turn)
         demand = self._demand(held, turn, action)
         self.waiting_for[held.id] = f'a grant of {action.service}'
-        lease = await self._around.grants.acquire(demand)
-        keeping = asyncio.create_task(self._around.grants.keep(lease))
+        lease = await self._context.grants.acquire(demand)
+        keeping = asyncio.create_task(self._context.grants.keep(lease))
         resident_tokens = 0
         awaits_caller = False
         try:
-            now_s = self._around.clock()
+            now_s = self._context.clock()
             started = program.start_of(
                 held, turn, action, lease.server.name, now_s
             )
@@ -502,7 +502,7 @@
             awaits_caller = not finished.tool_calls
         finally:
             keeping.cancel()
-            back = self._around.grants.give_back(
+            back = self._context.grants.give_back(
                 lease,
                 held.id,
                 resident_tokens,
@@ -523,7 +523,7 @@
             raise errors.Refused(
                 'retries_exhausted', 503, 'too many retries', retry_after_s=5.0
             )
-        await asyncio.sleep(retry.delay_s(failures, self._around.generator))
+        await asyncio.sleep(retry.delay_s(failures, self._context.generator))
 
     async def _call(self, held, started, action, lease):
         """Run a request and return the record of its outcome."""
@@ -543,12 +543,12 @@
             raise
 
     async def _complete(self, held, started, action, lease):
-        declared = self._around.declared()
+        declared = self._context.declared()
         model = declared.service(action.service).model
         request_id = f'{held.id}:{started.turn}:{started.step}'
         stream = self._answer(held, started.turn)
         stream.start(started.step)
-        parts = self._around.backends.complete(
+        parts = self._context.backends.complete(
             lease.server, model, action, request_id, held.id
         )
         async for part in parts:
@@ -570,12 +570,12 @@
             answer_tokens=part.answer_tokens,
             cached_tokens=part.cached_tokens,
             charged_tokens=part.prompt_tokens + part.answer_tokens,
-            finished_at_s=self._around.clock(),
+            finished_at_s=self._context.clock(),
         )
 
     async def _invoke(self, started, action, lease):
         request_id = f'{started.program_id}:{started.turn}:{action.call_id}'
-        output = await self._around.backends.invoke(
+        output = await self._context.backends.invoke(
             lease.server, action, request_id
         )
         return self._plain_end(started, 'ok', output, 0)
@@ -583,12 +583,12 @@
     def _failed(self, held, started, failure):
         logging.info('owner: program %s: %s', held.id, failure)
         if failure.ran == 'no':
-            self._around.grants.mark_down(failure.server)
+            self._context.grants.mark_down(failure.server)
             return self._plain_end(started, 'failed', str(failure), 0)
         if failure.crashed:
-            self._around.grants.mark_down(failure.server)
+            self._context.grants.mark_down(failure.server)
             turn = self.programs[held.id].turns[started.turn]
-            self._around.report_crash(turn.accepted.digest, failure.server)
+            self._context.report_crash(turn.accepted.digest, failure.server)
         return self._plain_end(
             started, 'unknown', str(failure), started.reserved_tokens
         )
@@ -605,7 +605,7 @@
             answer_tokens=0,
             cached_tokens=0,
             charged_tokens=charged_tokens,
-            finished_at_s=self._around.clock(),
+            finished_at_s=self._context.clock(),
         )
 
     def _cancel_later(self, server, request_id):
@@ -617,10 +617,10 @@
 
     async def _cancel(self, server, request_id):
         with contextlib.suppress(errors.BackendFailed):
-            await self._around.backends.cancel(server, request_id)
+            await self._context.backends.cancel(server, request_id)
 
     async def _start_agent(self, held, turn, action):
-        now_s = self._around.clock()
+        now_s = self._context.clock()
         started = program.start_of(held, turn, action, '', now_s)
         await self._record(started)
         held = self.programs[held.id]
@@ -637,7 +637,7 @@
             contract=held.created.contract,
             budget_tokens=started.reserved_tokens,
             deadline_at_s=self._deadline_at_s(held, turn),
-            created_at_s=self._around.clock(),
+            created_at_s=self._context.clock(),
             parent_id=held.id,
         )
         await self._commit(
@@ -666,7 +666,7 @@
     def _demand(self, held, turn, action):
         is_engine = isinstance(action, program.CallEngine)
         left_s = self._left_s(held, turn)
-        contract = self._around.declared().contract(held.created.contract)
+        contract = self._context.declared().contract(held.created.contract)
         priority = contract.priority if contract else 'urgent'
         return grant.Demand(
             service=action.service,
@@ -677,13 +677,13 @@
             attained_tokens=held.spent_tokens,
             prompt_tokens=turns.expected_tokens(action) if is_engine else 0,
             answer_tokens=action.answer_tokens if is_engine else 0,
-            suspect=self._around.quarantine.suspects(turn.accepted.digest),
+            suspect=self._context.quarantine.suspects(turn.accepted.digest),
         )
 
     def _deadline_at_s(self, held, turn):
         """Return when a turn must be done; 0 means never."""
         bounds = [held.created.deadline_at_s]
-        contract = self._around.declared().contract(held.created.contract)
+        contract = self._context.declared().contract(held.created.contract)
         if contract is not None and contract.turn_deadline_s:
             bounds.append(
                 turn.accepted.accepted_at_s + contract.turn_deadline_s
@@ -694,7 +694,7 @@
         deadline_at_s = self._deadline_at_s(held, turn)
         if not deadline_at_s:
             return None
-        return deadline_at_s - self._around.clock()
+        return deadline_at_s - self._context.clock()
 
     def _ensure_release(self, program_id):
         if program_id not in self._releases:
@@ -719,15 +719,15 @@
                 await asyncio.sleep(RELEASE_RETRY_S)
 
     async def _release_from(self, held, name):
-        server = self._around.declared().server(name)
+        server = self._context.declared().server(name)
         if server is not None:
             try:
-                await self._around.backends.release(server, held.id)
+                await self._context.backends.release(server, held.id)
             except errors.BackendFailed as error:
                 logging.debug('owner: release failed: %s', error)
                 return
             lease = grant.Held(server, uuid.uuid4().hex)
-            await self._around.grants.give_back(lease, held.id, 0, ended=True)
+            await self._context.grants.give_back(lease, held.id, 0, ended=True)
         await self._record(records.CacheReleased(held.id, name))
 
 
--- a/harness/measure/policies.py
+++ b/harness/measure/policies.py
@@ -153,8 +153,8 @@
         run.grant_id = f'g{next(self.next_id)}'
         self.runs[run.grant_id] = run
         self.homes[run.program] = queue.server.name
-        turned = queue.request(self._request(run, queue, now_s), now_s)
-        return [self._refuse(effect) for effect in turned]
+        rejected = queue.request(self._request(run, queue, now_s), now_s)
+        return [self._refuse(effect) for effect in rejected]
 
     def poll(self, now_s):
         effects = []
@@ -169,7 +169,7 @@
                 if isinstance(effect, dispatch.Granted):
                     run = self.runs[effect.grant.grant_id]
                     effects.append(Start(run, engine))
-                elif isinstance(effect, dispatch.Turned):
+                elif isinstance(effect, dispatch.Rejected):
                     effects.append(self._refuse(effect))
                 elif effect.exports:
                     engine.export(effect.program_id, now_s)
@@ -262,6 +262,6 @@
             suspect=self.crashes.suspects(run.program),
         )
 
-    def _refuse(self, turned):
-        run = self.runs.pop(turned.grant_id)
-        return Refuse(run, turned.code, turned.retry_after_s)
+    def _refuse(self, rejected):
+        run = self.runs.pop(rejected.grant_id)
+        return Refuse(run, rejected.code, rejected.retry_after_s)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -213,9 +213,9 @@
     """A release is sent once and taken as done."""
 
     async def broken(self, held, name):
-        server = self._around.declared().server(name)
+        server = self._context.declared().server(name)
         with contextlib.suppress(errors.BackendFailed):
-            await self._around.backends.release(server, held.id)
+            await self._context.backends.release(server, held.id)
         await self._record(records.CacheReleased(held.id, name))
 
     owner.Owner._release_from = broken
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -136,10 +136,10 @@
     for name in 'abcdef':
         queue.request(ask(name, priority='urgent', **slow), 0.0)
     queue.poll(0.0)
-    (turned,) = queue.request(
+    (rejected,) = queue.request(
         ask('g', priority='urgent', slack_s=5.0, **slow), 0.0
     )
-    assert turned.code == 'would_be_late' and turned.retry_after_s > 0
+    assert rejected.code == 'would_be_late' and rejected.retry_after_s > 0
     assert queue.waiting == 4
 
 
@@ -150,8 +150,10 @@
     queue.poll(0.0)
     for name in 'ab':
         queue.renew(f'grant-{name}', 10.0)
-    turned = [e for e in queue.poll(10.5) if isinstance(e, dispatch.Turned)]
-    assert [e.grant_id for e in turned] == ['grant-c']
+    rejected = [
+        e for e in queue.poll(10.5) if isinstance(e, dispatch.Rejected)
+    ]
+    assert [e.grant_id for e in rejected] == ['grant-c']
 
 
 def test_a_repeated_request_does_not_queue_twice():
--- a/tests/storyteller.py
+++ b/tests/transcript.py
@@ -11,7 +11,7 @@
 from tests import virtual
 
 
-class Story:
+class Transcript:
     """A session on a virtual clock, told line by line."""
 
     def __init__(self):
@@ -147,19 +147,19 @@
 
 
 def tell(script) -> str:
-    """Run a script and return its story."""
+    """Run a script and return its session."""
 
     async def main():
-        story = Story()
-        await story.start()
-        await script(story)
-        return story.lines
+        session = Transcript()
+        await session.start()
+        await script(session)
+        return session.lines
 
     return '\n'.join(virtual.run(main())) + '\n'
 
 
-async def end_and_wait(story, program_id):
+async def end_and_wait(session, program_id):
     """End a program and wait until its cache is released."""
-    story.tell('caller', f'ends {program_id}')
-    await story.running.call(program_id, messages.EndProgram(program_id))
+    session.tell('caller', f'ends {program_id}')
+    await session.running.call(program_id, messages.EndProgram(program_id))
     await asyncio.sleep(3)
