Keep background tasks in one place instead of five

Ruled out: the other pairs listed (intents, commands and messages are alike in shape only; the scenes of one proof read better whole). Change: background.Background and background.retrieve serve all; Load is gone. Failures of parking are now logged like the others; nothing else changes.

--- a/balsamdale/backend.py
+++ b/balsamdale/backend.py
@@ -20,7 +20,6 @@
     'Backends',
     'Completion',
     'HttpBackends',
-    'Load',
     'TextDelta',
     'chat_body',
 ]
@@ -49,14 +48,6 @@
     cached_tokens: int
 
 
-@dataclasses.dataclass(frozen=True)
-class Load:
-    """An engine's lagged report of its load."""
-
-    running: int
-    waiting: int
-
-
 class Backends(abc.ABC):
     """Requests to backend servers.
 
--- a/balsamdale/configuration.py
+++ b/balsamdale/configuration.py
@@ -9,12 +9,12 @@
 import asyncio
 from collections import abc as collections_abc
 import contextlib
-import functools
 import hashlib
 import uuid
 
 from absl import logging
 
+from balsamdale import background
 from balsamdale import codec
 from balsamdale import declaration
 from balsamdale import errors
@@ -205,7 +205,7 @@
         self._text = ''
         self._declared: declaration.Declaration | None = None
         self._ready = asyncio.Event()
-        self._tasks: set[asyncio.Task] = set()
+        self._background = background.Background('configuration')
         self._pulling = False
         self.revision = 0
         links.serve(messages.Configuration, self._on_push)
@@ -241,7 +241,7 @@
         """Pull from a peer whose revision is higher."""
         if revision > self.revision and not self._pulling:
             self._pulling = True
-            self._spawn(self._pull(peer_id))
+            self._background.spawn(self._pull(peer_id))
 
     async def run(self) -> None:
         """Watch the store while this instance is a relay or knows nothing."""
@@ -301,7 +301,9 @@
         for instance in self._members.usable():
             near = instance.failure_domain == domain
             if near and instance.instance_id != self._members.own_id:
-                self._spawn(self._push_to(instance.instance_id, message))
+                self._background.spawn(
+                    self._push_to(instance.instance_id, message)
+                )
 
     async def _push_to(self, peer_id, message):
         with contextlib.suppress(errors.LinkError):
@@ -324,14 +326,3 @@
 
     async def _on_pull(self, _sender, _message):
         yield messages.Configuration(self.revision, self._text)
-
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(functools.partial(_reap, self._tasks))
-
-
-def _reap(tasks, task):
-    tasks.discard(task)
-    if not task.cancelled() and task.exception() is not None:
-        logging.error('configuration: a task failed: %r', task.exception())
--- a/balsamdale/grant.py
+++ b/balsamdale/grant.py
@@ -14,6 +14,7 @@
 from absl import logging
 
 from balsamdale import backend
+from balsamdale import background
 from balsamdale import declaration
 from balsamdale import dispatch
 from balsamdale import errors
@@ -82,7 +83,7 @@
         self._policy = policy or dispatch.Policy()
         self._queues: dict[str, dispatch.Dispatcher] = {}
         self._waiting: dict[str, asyncio.Future] = {}
-        self._parking: set[asyncio.Task] = set()
+        self._background = background.Background('grant')
         links.serve(messages.QuoteRequest, self._quote)
         links.serve(messages.GrantRequest, self._request)
         links.serve(messages.GrantRenew, self._renew)
@@ -177,7 +178,7 @@
             elif isinstance(effect, dispatch.Rejected):
                 self._settle(effect.grant_id, _refusal(effect))
             else:
-                self._spawn(self._park(queue.server, effect))
+                self._background.spawn(self._park(queue.server, effect))
 
     def _settle(self, grant_id, reply):
         future = self._waiting.get(grant_id)
@@ -186,7 +187,7 @@
 
     def _grant(self, server, granted):
         if granted.imports:
-            self._spawn(self._import(server, granted))
+            self._background.spawn(self._import(server, granted))
         else:
             self._settle(granted.grant.grant_id, granted.grant)
 
@@ -205,11 +206,6 @@
         except errors.BackendFailed as error:
             logging.debug('grant: parking failed: %s', error)
 
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._parking.add(task)
-        task.add_done_callback(self._parking.discard)
-
 
 def _refusal(rejected):
     return messages.Refusal(
--- a/balsamdale/heartbeat.py
+++ b/balsamdale/heartbeat.py
@@ -5,11 +5,11 @@
 
 import asyncio
 from collections import abc as collections_abc
-import functools
 import json
 
 from absl import logging
 
+from balsamdale import background
 from balsamdale import configuration
 from balsamdale import errors
 from balsamdale import keyvalue
@@ -64,7 +64,7 @@
         self._relay = relay
         self._changed = changed
         self._clock = clock
-        self._tasks: set[asyncio.Task] = set()
+        self._background = background.Background('membership')
         self._pinging: set[str] = set()
         links.serve(messages.Ping, self._on_ping)
         links.serve(messages.Probe, self._on_probe)
@@ -99,7 +99,7 @@
             if isinstance(effect, membership.SendPing):
                 self._ping_once(effect.peer_id)
             elif isinstance(effect, membership.SendProbe):
-                self._spawn(self._probe(effect))
+                self._background.spawn(self._probe(effect))
             else:
                 logging.info(
                     'membership: %s is %s', effect.instance_id, effect.status
@@ -141,7 +141,7 @@
     def _ping_once(self, peer_id):
         if peer_id not in self._pinging:
             self._pinging.add(peer_id)
-            self._spawn(self._ping(peer_id))
+            self._background.spawn(self._ping(peer_id))
 
     async def _ping(self, peer_id):
         try:
@@ -205,14 +205,3 @@
         )
         self._relay.behind(message.sender_id, message.revision)
         self.perform(effects)
-
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(functools.partial(_reap, self._tasks))
-
-
-def _reap(tasks, task):
-    tasks.discard(task)
-    if not task.cancelled() and task.exception() is not None:
-        logging.error('membership: a task failed: %r', task.exception())
--- a/balsamdale/instance.py
+++ b/balsamdale/instance.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from balsamdale import backend
+from balsamdale import background
 from balsamdale import configuration
 from balsamdale import endpoint
 from balsamdale import errors
@@ -71,7 +72,7 @@
         self._backends = parts.backends
         self._clock = parts.clock
         self._generator = random.Random(given.instance_id)
-        self._tasks: set[asyncio.Task] = set()
+        self._beside = background.Background('instance')
         self._background: list[asyncio.Task] = []
         self.quarantine = quarantine.Quarantine()
         self._build()
@@ -211,8 +212,9 @@
 
     async def close(self) -> None:
         """Stop all work where it stands."""
-        for task in [*self._background, *self._tasks]:
+        for task in self._background:
             task.cancel()
+        self._beside.cancel()
         await self.owner.close()
         await self.owned.close()
         await self.links.close()
@@ -239,7 +241,7 @@
             await self._pull_owners()
             return
         for number in numbers:
-            self._spawn(self._open(number))
+            self._beside.spawn(self._open(number))
 
     async def _pull_owners(self):
         for peer_id in self.members.reachable():
@@ -276,9 +278,9 @@
         for number, (_, owner_id) in self.owned.owners().items():
             mine = self.owned.preferred(number) == self.settings.instance_id
             if owner_id == instance_id and mine:
-                self._spawn(self._open(number))
+                self._beside.spawn(self._open(number))
         if self.owned.preferred(-1) == self.settings.instance_id:
-            self._spawn(self._sweep())
+            self._beside.spawn(self._sweep())
 
     async def _sweep(self):
         """Find shards of dead owners that no announcement told of."""
@@ -302,10 +304,10 @@
         except errors.KeyValueUnavailable:
             await asyncio.sleep(REPAIR_INTERVAL_S)
             if self.owned.preferred(number) == self.settings.instance_id:
-                self._spawn(self._open(number))
+                self._beside.spawn(self._open(number))
 
     async def _on_take_over(self, _sender, message):
-        self._spawn(self._open(message.shard))
+        self._beside.spawn(self._open(message.shard))
         yield messages.Ok()
 
     async def _on_pull_owners(self, _sender, _message):
@@ -321,7 +323,7 @@
         self.quarantine.report(digest, crash_id)
         message = messages.ReportCrash(crash_id, digest)
         for peer_id in self.members.reachable():
-            self._spawn(self._tell(peer_id, message))
+            self._beside.spawn(self._tell(peer_id, message))
 
     async def _tell(self, peer_id, message):
         with contextlib.suppress(errors.LinkError):
@@ -358,13 +360,3 @@
             self.owned.copies(held.number) < ownership.COPIES
             for held in self.owned.serving
         )
-
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._reap)
-
-    def _reap(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logging.error('instance: a task failed: %r', task.exception())
--- a/balsamdale/owner.py
+++ b/balsamdale/owner.py
@@ -17,6 +17,7 @@
 
 from balsamdale import answer
 from balsamdale import backend
+from balsamdale import background
 from balsamdale import burn
 from balsamdale import codec
 from balsamdale import declaration
@@ -338,7 +339,7 @@
         what is applied would differ.
         """
         task = asyncio.create_task(self._commit_now(program_id, decide))
-        task.add_done_callback(_retrieve)
+        task.add_done_callback(background.retrieve)
         await asyncio.shield(task)
 
     async def _commit_now(self, program_id, decide):
@@ -741,12 +742,6 @@
     )
 
 
-def _retrieve(task):
-    """Mark a failure as seen where nobody waits any more."""
-    if not task.cancelled():
-        task.exception()
-
-
 def request_program_id(message: messages.ServiceRequest) -> str:
     """Return the program that stands for a plain request."""
     digest = program.digest_of(
--- a/balsamdale/ownership.py
+++ b/balsamdale/ownership.py
@@ -11,6 +11,7 @@
 
 from absl import logging
 
+from balsamdale import background
 from balsamdale import codec
 from balsamdale import errors
 from balsamdale import keyvalue
@@ -56,7 +57,7 @@
         self._shards: dict[int, shard.Shard] = {}
         self._opening: dict[int, asyncio.Future] = {}
         self._commits: dict[int, list[tuple[int, asyncio.Future]]] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._background = background.Background('ownership')
         self._owners: dict[int, tuple[int, str]] = {}
         self._moves: dict[int, list[tuple[str, asyncio.Future]]] = {}
         self._missing_since_s: dict[str, float] = {}
@@ -156,9 +157,9 @@
             return held
         if number not in self._opening:
             future = asyncio.get_running_loop().create_future()
-            future.add_done_callback(_retrieve)
+            future.add_done_callback(background.retrieve)
             self._opening[number] = future
-            self._spawn(self._claim(number, future))
+            self._background.spawn(self._claim(number, future))
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_S):
                 return await asyncio.shield(self._opening[number])
@@ -284,8 +285,7 @@
 
     async def close(self) -> None:
         """Stop all work without handing over."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._background.cancel()
         for held in list(self._shards.values()):
             held.detach()
 
@@ -360,27 +360,27 @@
 
     @_do.register
     def _(self, effect: shard.SwapKey, held):
-        self._spawn(self._swap(held, effect))
+        self._background.spawn(self._swap(held, effect))
 
     @_do.register
     def _(self, effect: shard.ReadKey, held):
-        self._spawn(self._read_key(held, effect))
+        self._background.spawn(self._read_key(held, effect))
 
     @_do.register
     def _(self, effect: shard.SendSeal, held):
-        self._spawn(self._send_seal(held, effect))
+        self._background.spawn(self._send_seal(held, effect))
 
     @_do.register
     def _(self, effect: shard.SendRead, held):
-        self._spawn(self._send_read(held, effect))
+        self._background.spawn(self._send_read(held, effect))
 
     @_do.register
     def _(self, effect: shard.SendAppend, held):
-        self._spawn(self._send_append(held, effect))
+        self._background.spawn(self._send_append(held, effect))
 
     @_do.register
     def _(self, effect: shard.SendDrop, held):
-        self._spawn(self._send_drop(held, effect))
+        self._background.spawn(self._send_drop(held, effect))
 
     @_do.register
     def _(self, effect: shard.Committed, held):
@@ -498,7 +498,7 @@
             future.set_result(held)
         notice = messages.ShardOpened(held.number, own_id, held.epoch)
         for peer_id in self._members.reachable():
-            self._spawn(self._announce(peer_id, notice))
+            self._background.spawn(self._announce(peer_id, notice))
 
     async def _announce(self, peer_id, notice):
         try:
@@ -530,20 +530,3 @@
         if opening is not None and not opening.done():
             opening.set_exception(error)
         self._lost(number)
-
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(functools.partial(_reap, self._tasks))
-
-
-def _retrieve(future):
-    """Mark a failure as seen where nobody waits any more."""
-    if not future.cancelled():
-        future.exception()
-
-
-def _reap(tasks, task):
-    tasks.discard(task)
-    if not task.cancelled() and task.exception() is not None:
-        logging.error('ownership: a task failed: %r', task.exception())
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from balsamdale import answer
+from balsamdale import background
 from balsamdale import codec
 from balsamdale import configuration
 from balsamdale import errors
@@ -297,7 +298,7 @@
             number = ownership.placement.shard_of(record.program_id)
             late = self.owned.append(number, record.program_id, body)
             task = asyncio.create_task(late)
-            task.add_done_callback(owner._retrieve)
+            task.add_done_callback(background.retrieve)
             return
         await self._commit(record.program_id, lambda _: [record])
 
