Serve the users' platform: routed requests and kept turns, thin and whole

Cause: the product had no way in for callers that drive a program by themselves, request by request, to any instance; the platform asks for it.

Change: two roles, entry and archive, behind balsamdale/platform, which only translates. Turns are immutable records in 2f+1 folders, written to f+1 before an answer ends; tokens are reserved at f+1 before a turn runs. Configuration and servers come from a mirror of the key-value service, which peers pass on to each other. A request leaves again only where it is proved not to have run.

--- /dev/null
+++ b/balsamdale/archive_service.py
@@ -0,0 +1,231 @@
+"""Access to an instance's archive for the others, over links.
+
+A folder that lacks records pulls them from the others; a folder that is to
+be emptied pushes its own to them.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+import contextlib
+
+from absl import logging
+
+from balsamdale import archive
+from balsamdale import archive_messages as messages
+from balsamdale import background
+from balsamdale import errors
+from balsamdale import history
+from balsamdale import link
+
+__all__ = ['ArchiveService']
+
+SWEEP_INTERVAL_S = 2.0
+RETRY_S = 0.2
+PULL_TIMEOUT_S = 1.5
+PUSH_PARALLEL = 32
+
+
+class ArchiveService:
+    """Serves one archive.
+
+    Args:
+        held: the archive.
+        links: connections to other instances.
+        others: returns the names of the other instances with an archive.
+        losses: folders that may be lost at once.
+        clock: returns the present time in seconds since the Unix epoch.
+    """
+
+    def __init__(
+        self,
+        held: archive.Archive,
+        links: link.Links,
+        others: collections_abc.Callable[[], tuple[str, ...]],
+        losses: int,
+        clock: collections_abc.Callable[[], float],
+    ):
+        self.archive = held
+        self._links = links
+        self._others = others
+        self._losses = losses
+        self._clock = clock
+        self._background = background.Background('archive')
+        self._syncing: asyncio.Task | None = None
+        self._waiting: asyncio.Future | None = None
+        self.kept = 0
+        self.opened = 0
+        self.syncs = 0
+        links.serve(messages.OpenTurn, self._on_open)
+        links.serve(messages.ReadChain, self._on_read)
+        links.serve(messages.KeepTurn, self._on_keep)
+        links.serve(messages.SettleTurn, self._on_settle)
+        links.serve(messages.PullRecords, self._on_pull)
+
+    async def run(self) -> None:
+        """Delete what is past its retention, for ever."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            now_s = self._clock()
+            self.archive.expire(now_s)
+            if self._syncing is None and isinstance(
+                self.archive, archive.DiskArchive
+            ):
+                self.archive.rotate(now_s)
+
+    async def catch_up(self) -> None:
+        """Pull what this folder lacks, until it can be relied on.
+
+        Of the others, all but as many as may be lost have to answer: a
+        record that this folder once acknowledged lies on one of those.
+        """
+        done: set[str] = set()
+        while not self.archive.is_whole:
+            others = set(self._others())
+            for name in sorted(others - done):
+                if await self._pull_all(name):
+                    done.add(name)
+            needed = max(self._losses + 1, len(others) - self._losses)
+            if done and len(done & others) >= min(needed, len(others)):
+                await self._synced()
+                self.archive.set_whole()
+                logging.info(
+                    'archive: caught up from %s', ', '.join(sorted(done))
+                )
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def empty(self) -> bool:
+        """Push every record to the other archives.
+
+        Returns:
+            Whether each record is acknowledged by enough of them.
+        """
+        names = self._others()
+        needed = min(self._losses + 1, len(names))
+        if not needed:
+            return False
+        cursor = (0, 0)
+        while True:
+            records, cursor = self.archive.read(cursor)
+            if not records:
+                return True
+            for start in range(0, len(records), PUSH_PARALLEL):
+                part = records[start : start + PUSH_PARALLEL]
+                counts = await asyncio.gather(
+                    *(self._push(record, names) for record in part)
+                )
+                if min(counts) < needed:
+                    return False
+
+    async def close(self) -> None:
+        """Sync and release the folder."""
+        self._background.cancel()
+        if self._syncing is not None:
+            await self._syncing
+        self.archive.close()
+
+    async def _push(self, record, names):
+        if isinstance(record, history.Turn):
+            message = messages.KeepTurn(record)
+        else:
+            message = messages.SettleTurn(record)
+        answers = await asyncio.gather(
+            *(self._ask(name, message) for name in names)
+        )
+        return sum(answers)
+
+    async def _ask(self, name, message):
+        with contextlib.suppress(errors.LinkError):
+            await self._links.request(name, message, PULL_TIMEOUT_S)
+            return True
+        return False
+
+    async def _pull_all(self, name):
+        cursor = (0, 0)
+        while True:
+            message = messages.PullRecords(*cursor)
+            try:
+                reply = await self._links.request(
+                    name, message, PULL_TIMEOUT_S
+                )
+            except errors.LinkError as error:
+                logging.info('archive: cannot catch up from %s', error)
+                return False
+            for record in (*reply.turns, *reply.entries):
+                self.archive.put(record)
+            if not reply.turns and not reply.entries:
+                return True
+            cursor = (reply.segment, reply.offset)
+
+    def _synced(self) -> asyncio.Future:
+        """Return a future that is done once all changes so far are durable.
+
+        Changes that arrive during a sync share the next one.
+        """
+        if self._waiting is None:
+            self._waiting = asyncio.get_running_loop().create_future()
+        waiting = self._waiting
+        if self._syncing is None:
+            self._syncing = asyncio.create_task(self._sync())
+        return waiting
+
+    async def _sync(self):
+        try:
+            while self._waiting is not None:
+                waiting, self._waiting = self._waiting, None
+                try:
+                    await asyncio.to_thread(self.archive.sync)
+                except OSError as error:
+                    waiting.set_exception(error)
+                    background.retrieve(waiting)
+                    raise
+                self.syncs += 1
+                waiting.set_result(None)
+        finally:
+            self._syncing = None
+
+    async def _on_open(self, _sender, message):
+        self.opened += 1
+        if message.tokens:
+            self.archive.put(
+                history.Entry(
+                    message.program_id,
+                    message.turn_id,
+                    message.tokens,
+                    False,
+                    message.expires_at_s,
+                )
+            )
+            await asyncio.shield(self._synced())
+        chain = None
+        if message.wants_chain:
+            chain = self.archive.chain(message.parent_id)
+        yield messages.TurnOpened(
+            self.archive.is_whole,
+            self.archive.account(message.program_id),
+            chain,
+        )
+
+    async def _on_read(self, _sender, message):
+        yield messages.ChainRead(
+            self.archive.is_whole, self.archive.chain(message.turn_id)
+        )
+
+    async def _on_keep(self, _sender, message):
+        self.kept += 1
+        self.archive.put(message.turn)
+        await asyncio.shield(self._synced())
+        yield messages.Kept(self.archive.folder_id)
+
+    async def _on_settle(self, _sender, message):
+        self.archive.put(message.entry)
+        await asyncio.shield(self._synced())
+        yield messages.Kept(self.archive.folder_id)
+
+    async def _on_pull(self, _sender, message):
+        records, cursor = self.archive.read((message.segment, message.offset))
+        yield messages.Records(
+            tuple(r for r in records if isinstance(r, history.Turn)),
+            tuple(r for r in records if isinstance(r, history.Entry)),
+            *cursor,
+        )
--- /dev/null
+++ b/balsamdale/discovery.py
@@ -0,0 +1,106 @@
+"""Access to the backend servers that are known, as they register themselves.
+
+Decides only; entries arrive decoded, the present time is an argument.
+"""
+
+from collections import abc as collections_abc
+import dataclasses
+import typing
+
+from balsamdale import decisions
+
+__all__ = ['Directory', 'Server']
+
+RETURN_GRACE_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Server:
+    """A backend server's registration.
+
+    Attributes:
+        server_id: id of the server; one that starts again may keep it.
+        service: service that it belongs to.
+        address: IP number and port.
+        failure_domain: where it stands.
+        slots: requests that it runs at once.
+        state: 'ready', or 'draining' before a planned stop.
+        started_ms: start of the server, since the Unix epoch; 0 if untold.
+        cold_s: how much longer it remains slow after its start.
+    """
+
+    server_id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    state: typing.Literal['ready', 'draining']
+    started_ms: int = 0
+    cold_s: float = 0.0
+
+
+class Directory:
+    """Servers by id.
+
+    A registration that is missing after an outage of the key-value service
+    is kept for a short time, as it may only have lapsed meanwhile.
+    """
+
+    def __init__(self):
+        self._servers: dict[str, Server] = {}
+        self._by_service: dict[str, tuple[Server, ...]] = {}
+        self._missing: dict[str, float] = {}
+
+    def put(self, server: Server) -> None:
+        """Add a registration, or replace the one with the same id."""
+        self._missing.pop(server.server_id, None)
+        before = self._servers.get(server.server_id)
+        self._servers[server.server_id] = server
+        self._by_service.clear()
+        if before is None or before.state != server.state:
+            decisions.record(
+                'server_known',
+                server=server.server_id,
+                service=server.service,
+                state=server.state,
+            )
+
+    def remove(self, server_id: str, now_s: float, in_doubt: bool) -> None:
+        """Remove a registration.
+
+        Args:
+            server_id: id of the server.
+            now_s: the present time.
+            in_doubt: whether it may only have lapsed during an outage.
+        """
+        if server_id not in self._servers:
+            return
+        if in_doubt:
+            self._missing[server_id] = now_s + RETURN_GRACE_S
+            return
+        self._drop(server_id)
+
+    def expire(self, now_s: float) -> None:
+        """Drop what did not come back after an outage."""
+        late = [name for name, end in self._missing.items() if end <= now_s]
+        for server_id in late:
+            self._drop(server_id)
+
+    def ready(self, service: str) -> tuple[Server, ...]:
+        """Return the servers of a service that take new work."""
+        if service not in self._by_service:
+            self._by_service[service] = tuple(
+                server
+                for server in self._servers.values()
+                if server.service == service and server.state == 'ready'
+            )
+        return self._by_service[service]
+
+    def __iter__(self) -> collections_abc.Iterator[Server]:
+        return iter(self._servers.values())
+
+    def _drop(self, server_id):
+        self._missing.pop(server_id, None)
+        del self._servers[server_id]
+        self._by_service.clear()
+        decisions.record('server_gone', server=server_id)
--- a/balsamdale/errors.py
+++ b/balsamdale/errors.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     'BalsamdaleError',
+    'CallerGone',
     'CheckFailed',
     'CorruptRecord',
     'JournalError',
@@ -13,6 +14,10 @@
     'KeyValueUnavailable',
     'LinkError',
     'LinkTimeout',
+    'HistoryLost',
+    'LeaseEnded',
+    'NoQuorum',
+    'NoSuchTurn',
     'NotOwner',
     'OutOfOrder',
     'RemoteError',
@@ -56,6 +61,14 @@
         self.maybe_applied = maybe_applied
 
 
+class HistoryLost(KeyValueError):
+    """The changes asked for are no longer kept; read the keys anew."""
+
+
+class LeaseEnded(KeyValueError):
+    """The lease named has ended, and its keys with it."""
+
+
 class JournalError(BalsamdaleError):
     """A journal refused an operation."""
 
@@ -146,6 +159,32 @@
     """A frame carries a version or type that is not known here."""
 
 
+class NoQuorum(BalsamdaleError):
+    """Too few archives answered.
+
+    Attributes:
+        answered: archives that did.
+        needed: archives that must.
+    """
+
+    def __init__(self, answered, needed):
+        super().__init__(f'{answered} of {needed} archives answered')
+        self.answered = answered
+        self.needed = needed
+
+
+class NoSuchTurn(BalsamdaleError):
+    """No archive holds a turn, and enough of them are sure.
+
+    Attributes:
+        turn_id: the turn asked for.
+    """
+
+    def __init__(self, turn_id):
+        super().__init__(f'no turn {turn_id!r}')
+        self.turn_id = turn_id
+
+
 class NotOwner(BalsamdaleError):
     """This instance does not own the shard.
 
@@ -180,6 +219,10 @@
         self.crashed = crashed
 
 
+class CallerGone(BalsamdaleError):
+    """The caller closed its connection before its answer was whole."""
+
+
 class Refused(BalsamdaleError):
     """A caller's request is answered with a refusal.
 
--- /dev/null
+++ b/balsamdale/exchange.py
@@ -0,0 +1,179 @@
+"""Access to one exchange with a backend server over HTTP.
+
+The library is kept from repeating requests by itself and from taking an
+answer that arrives late for the answer of the next request.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+import contextlib
+import dataclasses
+import functools
+import socket
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import client_reqrep
+import multidict
+import yarl
+
+from balsamdale import errors
+from balsamdale import wire
+
+__all__ = ['Exchange', 'Reply']
+
+CONNECT_TIMEOUT_S = 0.4
+IDLE_S = 2.0
+UNACKED_MS = 1500
+FIELD_BYTES = 32768
+UNWANTED_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
+
+
+class _Protocol(client_proto.ResponseHandler):
+    """A connection that passes over answers to earlier requests."""
+
+    id_header = ''
+    expected_id = ''
+
+    async def read(self):
+        while True:
+            message, payload = await super().read()
+            echoed = message.headers.get(self.id_header)
+            if echoed == self.expected_id or (
+                echoed is None and message.code >= 300
+            ):
+                return message, payload
+            await payload.read()
+
+
+class _Request(client_reqrep.ClientRequest):
+    """A request that tells its connection which answer belongs to it."""
+
+    async def send(self, conn):
+        protocol = conn.protocol
+        protocol.expected_id = self.headers.get(protocol.id_header)
+        return await super().send(conn)
+
+
+@dataclasses.dataclass
+class Reply:
+    """A server's answer whose body is still to be read."""
+
+    status: int
+    headers: multidict.CIMultiDictProxy
+    facts: wire.ReplyFacts
+    _response: aiohttp.ClientResponse
+
+    async def body(self) -> bytes:
+        """Read the whole body."""
+        return await self._response.read()
+
+    def chunks(self) -> collections_abc.AsyncIterator[bytes]:
+        """Yield the body as it arrives."""
+        return self._response.content.iter_any()
+
+
+class Exchange:
+    """Requests to backend servers.
+
+    Args:
+        form: header names of the interface.
+        connections_per_server: bound on open connections to one server.
+    """
+
+    def __init__(self, form: wire.Wire, connections_per_server: int = 0):
+        self._form = form
+        self._limit = connections_per_server
+        self._session: aiohttp.ClientSession | None = None
+        self.sent = 0
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        call: wire.Call,
+        body: bytes,
+        address: str,
+        server_id: str,
+        left_s: float,
+    ) -> collections_abc.AsyncIterator[Reply]:
+        """Send one request; the connection closes unless all was read.
+
+        Raises:
+            BackendFailed: no answer came; it says whether the request ran.
+        """
+        headers = multidict.CIMultiDict(
+            self._form.request_headers(call, server_id, left_s)
+        )
+        url = yarl.URL(f'http://{address}{call.target}', encoded=True)
+        self.sent += 1
+        try:
+            async with self._client().request(
+                call.method,
+                url,
+                headers=headers,
+                data=body or None,
+                allow_redirects=False,
+                skip_auto_headers=UNWANTED_HEADERS,
+            ) as response:
+                facts = self._form.facts(response.status, response.headers)
+                yield Reply(response.status, response.headers, facts, response)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise errors.BackendFailed(
+                server_id, 'no', f'no connection: {error}', True
+            ) from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise errors.BackendFailed(
+                server_id, 'unknown', f'{type(error).__name__}: {error}'
+            ) from error
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _client(self):
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=self._limit,
+                keepalive_timeout=IDLE_S,
+                socket_factory=_socket,
+                use_dns_cache=False,
+            )
+            protocol = type(
+                'BoundProtocol',
+                (_Protocol,),
+                {'id_header': self._form.request_id_header},
+            )
+            # The connector has no public way to replace its protocol.
+            connector._factory = functools.partial(
+                protocol, loop=asyncio.get_running_loop()
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector,
+                request_class=_Request,
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                trust_env=False,
+                max_field_size=FIELD_BYTES,
+                max_line_size=FIELD_BYTES,
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=CONNECT_TIMEOUT_S
+                ),
+            )
+            # A request that may not repeat must not be sent again by the
+            # library when a kept connection turns out to be closed.
+            self._session._retry_connection = False
+        return self._session
+
+
+def _socket(info):
+    family, kind, protocol, _, _ = info
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return made
--- /dev/null
+++ b/balsamdale/front.py
@@ -0,0 +1,150 @@
+"""Access to the HTTP side for routed requests."""
+
+import asyncio
+import socket
+
+import aiohttp
+from aiohttp import web
+
+from balsamdale import decisions
+from balsamdale import errors
+from balsamdale import routes
+from balsamdale import serving
+from balsamdale import wire
+
+__all__ = ['Front', 'listening_socket']
+
+BACKLOG = 512
+UNACKED_MS = 5000
+IDLE_S = 75.0
+
+
+class Front:
+    """Listens for callers and hands their requests on.
+
+    Args:
+        served: serves requests.
+        form: header names of the interface.
+        limits: bounds on what callers may send.
+    """
+
+    def __init__(
+        self, served: serving.Serving, form: wire.Wire, limits: routes.Limits
+    ):
+        self._serving = served
+        self._form = form
+        self._limits = limits
+        self._runner: web.ServerRunner | None = None
+        self.is_leaving = False
+
+    async def listen(self, address: str) -> None:
+        """Listen on an IP number and port."""
+        server = web.Server(
+            self._handle,
+            request_factory=self._request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_S,
+            max_line_size=self._limits.header_bytes,
+            max_field_size=self._limits.header_bytes,
+            auto_decompress=False,
+        )
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        site = web.SockSite(
+            self._runner, listening_socket(address), backlog=BACKLOG
+        )
+        await site.start()
+
+    async def close(self) -> None:
+        """Close the listener and all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _request(self, message, payload, protocol, writer, task):
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=self._limits.body_bytes,
+        )
+
+    async def _handle(self, request):
+        responder = _Responder(request, self)
+        try:
+            if request.headers.get('Expect', '').lower() == '100-continue':
+                await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            body = await request.read()
+            call = self._form.call(
+                request.method, request.raw_path, request.headers, body
+            )
+        except web.HTTPRequestEntityTooLarge:
+            decisions.record('body_too_large', path=request.raw_path)
+            return web.Response(status=413)
+        except errors.Refused as refused:
+            decisions.record(
+                'bad_request', path=request.raw_path, reason=refused.detail
+            )
+            return web.Response(status=refused.status)
+        await self._serving.serve(call, responder)
+        return responder.response
+
+
+class _Responder(serving.Responder):
+    """The way back over one HTTP connection."""
+
+    def __init__(self, request, front):
+        self._request = request
+        self._front = front
+        self.response: web.StreamResponse | None = None
+
+    async def answer(self, status, headers, body):
+        self.response = web.Response(status=status, body=body)
+        self._put_headers(headers)
+        self.has_begun = True
+        await self._guard(self.response.prepare(self._request))
+        await self._guard(self.response.write_eof())
+
+    async def begin(self, status, headers):
+        self.response = web.StreamResponse(status=status)
+        self._put_headers(headers)
+        self.has_begun = True
+        await self._guard(self.response.prepare(self._request))
+
+    async def write(self, data):
+        await self._guard(self.response.write(data))
+
+    async def end(self):
+        await self._guard(self.response.write_eof())
+
+    def abort(self):
+        if self.response is None:
+            self.response = web.StreamResponse(status=500)
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    def _put_headers(self, headers):
+        for name, value in headers:
+            self.response.headers.add(name, value)
+        if self._front.is_leaving:
+            self.response.force_close()
+
+    async def _guard(self, writing):
+        try:
+            await writing
+        except (ConnectionError, aiohttp.ClientError) as error:
+            raise errors.CallerGone(str(error)) from error
+
+
+def listening_socket(address: str) -> socket.socket:
+    """Return a bound socket whose connections notice a silent peer."""
+    host, _, port = address.rpartition(':')
+    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+    made.bind((host, int(port)))
+    return made
--- a/balsamdale/keyvalue.py
+++ b/balsamdale/keyvalue.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 from collections import abc as collections_abc
+import contextlib
 import dataclasses
 import json
 
@@ -15,7 +16,14 @@
 
 from balsamdale import errors
 
-__all__ = ['EtcdKeyValue', 'KeyValue', 'MemoryKeyValue', 'Pair']
+__all__ = [
+    'Change',
+    'EtcdKeyValue',
+    'KeyValue',
+    'LeasedKeyValue',
+    'MemoryKeyValue',
+    'Pair',
+]
 
 CALL_TIMEOUT_S = 3.0
 
@@ -29,6 +37,15 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A write to a key; `value` is None where the key was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
 class KeyValue(abc.ABC):
     """Compare-and-swap storage with watches.
 
@@ -78,10 +95,54 @@
         return
 
 
-class MemoryKeyValue(KeyValue):
+class LeasedKeyValue(KeyValue):
+    """Compare-and-swap storage with leases and a history of changes."""
+
+    @abc.abstractmethod
+    async def changes(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> tuple[tuple[Change, ...], int]:
+        """Return the changes after a revision, waiting for the first.
+
+        Returns:
+            The changes, and the revision up to which they are complete.
+
+        Raises:
+            HistoryLost: these changes are no longer kept.
+        """
+
+    @abc.abstractmethod
+    async def grant(self, ttl_s: float) -> int:
+        """Return a new lease, which ends unless it is renewed in time."""
+
+    @abc.abstractmethod
+    async def renew(self, lease: int) -> None:
+        """Let a lease run anew.
+
+        Raises:
+            LeaseEnded: it has ended.
+        """
+
+    @abc.abstractmethod
+    async def revoke(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+
+    @abc.abstractmethod
+    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key whatever it holds; return the new revision.
+
+        Raises:
+            LeaseEnded: the lease has ended.
+        """
+
+
+class MemoryKeyValue(LeasedKeyValue):
     """A key-value service inside the process."""
 
     def __init__(self):
+        self._leases: dict[int, set[str]] = {}
+        self._changes: list[Change] = []
+        self._kept_after = 0
         self._pairs: dict[str, Pair] = {}
         self._writes: list[Pair] = []
         self._changed = asyncio.Event()
@@ -103,16 +164,80 @@
         held = self._pairs.get(key)
         if (held.revision if held else 0) != revision:
             return 0
-        self.revision += 1
-        self._pairs[key] = Pair(key, value, self.revision)
-        self._writes.append(self._pairs[key])
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._write(key, value)
         if self.answers_to_lose:
             self.answers_to_lose -= 1
             raise errors.KeyValueUnavailable('answer lost', True)
         return self.revision
 
+    async def changes(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> tuple[tuple[Change, ...], int]:
+        await self._check()
+        if revision < self._kept_after:
+            raise errors.HistoryLost('history was dropped')
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not self._changes_after(prefix, revision):
+                    await self._changed.wait()
+        await self._check()
+        return self._changes_after(prefix, revision), self.revision
+
+    async def grant(self, ttl_s: float) -> int:
+        await self._check()
+        lease = len(self._leases) + 1
+        self._leases[lease] = set()
+        return lease
+
+    async def renew(self, lease: int) -> None:
+        await self._check()
+        if lease not in self._leases:
+            raise errors.LeaseEnded(str(lease))
+
+    async def revoke(self, lease: int) -> None:
+        await self._check()
+        self.lapse(lease)
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        await self._check()
+        if lease:
+            if lease not in self._leases:
+                raise errors.LeaseEnded(str(lease))
+            self._leases[lease].add(key)
+        self._write(key, value)
+        return self.revision
+
+    def lapse(self, lease: int) -> None:
+        """End a lease as if it had not been renewed."""
+        for key in self._leases.pop(lease, ()):
+            self.remove(key)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self._pairs.pop(key, None) is not None:
+            self._write(key, None)
+
+    def drop_history(self) -> None:
+        """Forget all changes so far."""
+        self._kept_after = self.revision
+        self._changes.clear()
+
+    def _changes_after(self, prefix, revision):
+        return tuple(
+            change
+            for change in self._changes
+            if change.revision > revision and change.key.startswith(prefix)
+        )
+
+    def _write(self, key, value):
+        self.revision += 1
+        self._changes.append(Change(key, value, self.revision))
+        if value is not None:
+            self._pairs[key] = Pair(key, value, self.revision)
+            self._writes.append(self._pairs[key])
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def watch(
         self, prefix: str, revision: int
     ) -> collections_abc.AsyncIterator[Pair]:
--- /dev/null
+++ b/balsamdale/mirror.py
@@ -0,0 +1,265 @@
+"""Access to a local copy of the key-value service's keys.
+
+Each instance follows the service itself; while it cannot, it takes the copy
+of a peer that is further. A copy never goes back.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+import contextlib
+import random
+
+from balsamdale import codec
+from balsamdale import decisions
+from balsamdale import errors
+from balsamdale import keyvalue
+from balsamdale import link
+
+__all__ = ['Follower', 'Mirror']
+
+WAIT_S = 10.0
+SHORTEST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.6
+COMPARE_INTERVAL_S = 1.0
+COMPARE_INTERVAL_CUT_S = 0.3
+BEHIND_GRACE_S = 0.25
+PEER_TIMEOUT_S = 0.5
+
+Listener = collections_abc.Callable[[str, bytes | None], None]
+
+
+@codec.message
+class CompareMirror:
+    """Asks for the revision of the last change that a peer knows."""
+
+    changed: int
+
+
+@codec.message
+class MirrorChanged:
+    """The revision of the last change that the sender knows."""
+
+    changed: int
+
+
+@codec.message
+class PullMirror:
+    """Asks for a peer's copy, unless it is behind a revision."""
+
+    through: int
+
+
+@codec.message
+class MirrorCopy:
+    """A whole copy; without keys where it is behind the asker's."""
+
+    through: int
+    keys: tuple[tuple[str, bytes, int], ...]
+
+
+class Mirror:
+    """The keys, complete up to a revision.
+
+    Attributes:
+        through: revision up to which the copy is complete.
+        changed: revision of the last change in the copy.
+    """
+
+    def __init__(self):
+        self.through = 0
+        self.changed = 0
+        self._pairs: dict[str, keyvalue.Pair] = {}
+        self._listeners: list[tuple[str, Listener]] = []
+
+    def listen(self, prefix: str, listener: Listener) -> None:
+        """Call a function with each later change below a prefix."""
+        self._listeners.append((prefix, listener))
+
+    def get(self, key: str) -> bytes | None:
+        """Return a key's value."""
+        pair = self._pairs.get(key)
+        return pair.value if pair is not None else None
+
+    def below(
+        self, prefix: str
+    ) -> collections_abc.Iterator[tuple[str, bytes]]:
+        """Yield keys and values below a prefix."""
+        for key, pair in self._pairs.items():
+            if key.startswith(prefix):
+                yield key, pair.value
+
+    def load(
+        self,
+        pairs: collections_abc.Iterable[keyvalue.Pair],
+        through: int,
+    ) -> bool:
+        """Replace the copy by a later one; return whether it was later."""
+        if through <= self.through:
+            return False
+        found = {pair.key: pair for pair in pairs}
+        gone = self._pairs.keys() - found.keys()
+        fresh = [
+            pair
+            for key, pair in found.items()
+            if key not in self._pairs
+            or self._pairs[key].revision < pair.revision
+        ]
+        if gone:
+            self.changed = through
+        self.through = through
+        self._pairs = found
+        for pair in fresh:
+            self.changed = max(self.changed, pair.revision)
+            self._tell(pair.key, pair.value)
+        for key in sorted(gone):
+            self._tell(key, None)
+        return True
+
+    def apply(
+        self,
+        changes: collections_abc.Iterable[keyvalue.Change],
+        through: int,
+    ) -> None:
+        """Apply changes that follow the copy."""
+        for change in changes:
+            if change.revision <= self.through:
+                continue
+            self.changed = max(self.changed, change.revision)
+            if change.value is None:
+                self._pairs.pop(change.key, None)
+            else:
+                self._pairs[change.key] = keyvalue.Pair(
+                    change.key, change.value, change.revision
+                )
+            self._tell(change.key, change.value)
+        self.through = max(self.through, through)
+
+    def pairs(self) -> tuple[tuple[str, bytes, int], ...]:
+        """Return every key with its value and revision."""
+        return tuple(
+            (pair.key, pair.value, pair.revision)
+            for pair in self._pairs.values()
+        )
+
+    def _tell(self, key, value):
+        for prefix, listener in self._listeners:
+            if key.startswith(prefix):
+                listener(key, value)
+
+
+class Follower:
+    """Keeps a mirror up to date from the service, and from peers.
+
+    Args:
+        mirror: the copy.
+        store: the key-value service.
+        links: connections to other instances.
+        peers: returns the instances that may be asked.
+        generator: source of jitter and of the choice of a peer.
+    """
+
+    def __init__(
+        self,
+        mirror: Mirror,
+        store: keyvalue.LeasedKeyValue,
+        links: link.Links,
+        peers: collections_abc.Callable[[], list[str]],
+        generator: random.Random,
+    ):
+        self.mirror = mirror
+        self._store = store
+        self._links = links
+        self._peers = peers
+        self._generator = generator
+        self._is_loaded = False
+        self.is_connected = False
+        self.connected_at_s = 0.0
+        self.pulls = 0
+        links.serve(CompareMirror, self._on_compare)
+        links.serve(PullMirror, self._on_pull)
+
+    async def run(self) -> None:
+        """Follow the service, for ever."""
+        delay_s = SHORTEST_RETRY_S
+        while True:
+            try:
+                await self._follow()
+                delay_s = SHORTEST_RETRY_S
+            except errors.HistoryLost as error:
+                self._is_loaded = False
+                decisions.record('mirror_reload', reason=str(error))
+            except errors.KeyValueError as error:
+                self._disconnected(error)
+                await asyncio.sleep(
+                    delay_s * self._generator.uniform(0.5, 1.0)
+                )
+                delay_s = min(LONGEST_RETRY_S, 2 * delay_s)
+
+    async def run_compare(self) -> None:
+        """Compare with a random peer now and then, for ever."""
+        while True:
+            interval_s = (
+                COMPARE_INTERVAL_S
+                if self.is_connected
+                else COMPARE_INTERVAL_CUT_S
+            )
+            await asyncio.sleep(interval_s * self._generator.uniform(0.8, 1.2))
+            peers = self._peers()
+            if peers:
+                await self._compare(self._generator.choice(peers))
+
+    async def _follow(self):
+        if not self._is_loaded:
+            pairs, revision = await self._store.scan('')
+            self._connected()
+            self.mirror.load(pairs, revision)
+            self._is_loaded = True
+        changes, revision = await self._store.changes(
+            '', self.mirror.through, WAIT_S
+        )
+        self._connected()
+        self.mirror.apply(changes, revision)
+
+    def _connected(self):
+        if not self.is_connected:
+            self.is_connected = True
+            self.connected_at_s = asyncio.get_running_loop().time()
+            decisions.record('store_regained', through=self.mirror.through)
+
+    def _disconnected(self, error):
+        if self.is_connected:
+            self.is_connected = False
+            decisions.record(
+                'store_lost', reason=str(error), through=self.mirror.through
+            )
+
+    async def _compare(self, peer_id):
+        with contextlib.suppress(errors.LinkError):
+            reply = await self._links.request(
+                peer_id, CompareMirror(self.mirror.changed), PEER_TIMEOUT_S
+            )
+            if reply.changed <= self.mirror.through:
+                return
+            await asyncio.sleep(BEHIND_GRACE_S)
+            if reply.changed <= self.mirror.through:
+                return
+            await self._pull(peer_id)
+
+    async def _pull(self, peer_id):
+        copy = await self._links.request(
+            peer_id, PullMirror(self.mirror.through), PEER_TIMEOUT_S
+        )
+        pairs = (keyvalue.Pair(*row) for row in copy.keys)
+        if copy.keys and self.mirror.load(pairs, copy.through):
+            self.pulls += 1
+            decisions.record(
+                'mirror_from_peer', peer=peer_id, through=copy.through
+            )
+
+    async def _on_compare(self, _sender, _message):
+        yield MirrorChanged(self.mirror.changed)
+
+    async def _on_pull(self, _sender, message):
+        is_later = self.mirror.through > message.through
+        keys = self.mirror.pairs() if is_later else ()
+        yield MirrorCopy(self.mirror.through, keys)
--- /dev/null
+++ b/balsamdale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/balsamdale/quorum.py
@@ -0,0 +1,269 @@
+"""Access to the archives of a deployment as one store of kept turns.
+
+A program's records go to the same few folders, chosen by rendezvous
+hashing. A majority of them acknowledges each write, so that any two
+majorities share a folder.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+import contextlib
+import dataclasses
+import functools
+
+from balsamdale import archive_messages as messages
+from balsamdale import background
+from balsamdale import errors
+from balsamdale import history
+from balsamdale import link
+from balsamdale import placement
+
+__all__ = ['Folder', 'Opened', 'Quorum']
+
+TRY_TIMEOUT_S = 0.4
+RETRY_S = 0.05
+STRAGGLER_S = 0.06
+NEAR_LIMIT = 0.5
+SETTLE_TIMEOUT_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Folder:
+    """An archive as others know it.
+
+    Attributes:
+        instance_id: instance that serves it.
+        failure_domain: where it stands.
+    """
+
+    instance_id: str
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Opened:
+    """What is known when a turn begins.
+
+    Attributes:
+        chain: the turns that it continues, oldest first.
+        spent_tokens: tokens used or reserved by the program's other turns.
+    """
+
+    chain: tuple[history.Turn, ...]
+    spent_tokens: int
+
+
+class Quorum:
+    """Reads and writes records by majorities.
+
+    Args:
+        links: connections to other instances.
+        folders: returns the archives that are known.
+        losses: folders that may be lost at once.
+        failure_domain: where this instance stands; it reads from there.
+    """
+
+    def __init__(
+        self,
+        links: link.Links,
+        folders: collections_abc.Callable[[], tuple[Folder, ...]],
+        losses: int,
+        failure_domain: str,
+    ):
+        self._links = links
+        self._folders = folders
+        self._losses = losses
+        self._failure_domain = failure_domain
+        self._background = background.Background('quorum')
+
+    @property
+    def needed(self) -> int:
+        """Acknowledgements that make a record durable."""
+        return self._losses + 1
+
+    def replicas(self, program_id: str) -> list[Folder]:
+        """Return the folders of a program, those in this domain first."""
+        folders = {f.instance_id: f for f in self._folders()}
+        chosen = placement.rank(program_id, list(folders))
+        chosen = chosen[: 2 * self._losses + 1]
+        return sorted(
+            (folders[name] for name in chosen),
+            key=lambda f: f.failure_domain != self._failure_domain,
+        )
+
+    async def open(
+        self,
+        message: messages.OpenTurn,
+        budget_tokens: int,
+        timeout_s: float,
+    ) -> Opened:
+        """Reserve a turn's tokens and read the chain that it continues.
+
+        Args:
+            message: the turn; its `wants_chain` says whether to read.
+            budget_tokens: the program's budget; 0 for none.
+            timeout_s: time for all of it.
+
+        Raises:
+            NoQuorum: too few folders answered.
+            NoSuchTurn: no folder holds the parent, and that is certain.
+        """
+        replicas = self.replicas(message.program_id)
+        if len(replicas) < self.needed:
+            raise errors.NoQuorum(len(replicas), self.needed)
+        near = replicas[0].instance_id
+        asked = {
+            folder.instance_id: dataclasses.replace(
+                message,
+                wants_chain=message.wants_chain and folder.instance_id == near,
+            )
+            for folder in replicas
+        }
+        round_ = _Round(self._links, asked, timeout_s)
+        await round_.until(functools.partial(_is_whole, self.needed))
+        whole = _whole(round_)
+        if message.tokens and len(whole) < self.needed:
+            raise errors.NoQuorum(len(whole), self.needed)
+        if budget_tokens and self._spent(round_, message) > (
+            NEAR_LIMIT * budget_tokens
+        ):
+            await round_.until(_is_never, STRAGGLER_S)
+        chain = ()
+        if message.wants_chain:
+            await round_.until(functools.partial(_has, near), STRAGGLER_S)
+            first = round_.replies.get(near)
+            chain = first.chain if first is not None else None
+            if chain is None:
+                chain = await self.read_chain(message.parent_id, timeout_s)
+        return Opened(tuple(chain), self._spent(round_, message))
+
+    def _spent(self, round_, message):
+        merged = history.merge(reply.entries for reply in _whole(round_))
+        return history.spent_tokens(merged, message.turn_id)
+
+    async def read_chain(
+        self, turn_id: str, timeout_s: float
+    ) -> tuple[history.Turn, ...]:
+        """Return a turn with all before it, from any folder that has it.
+
+        Raises:
+            NoQuorum: none has it, but not enough were sure.
+            NoSuchTurn: none has it, and that is certain.
+        """
+        names = [folder.instance_id for folder in self._folders()]
+        message = messages.ReadChain(turn_id)
+        round_ = _Round(self._links, dict.fromkeys(names, message), timeout_s)
+        await round_.until(_has_chain)
+        replies = round_.replies
+        for reply in replies.values():
+            if reply.chain is not None:
+                return reply.chain
+        sure = sum(reply.is_whole for reply in replies.values())
+        if sure >= self._sure_count(len(names)):
+            raise errors.NoSuchTurn(turn_id)
+        raise errors.NoQuorum(sure, self._sure_count(len(names)))
+
+    async def keep(self, turn: history.Turn, timeout_s: float) -> None:
+        """Make a turn durable in a majority of its folders.
+
+        Raises:
+            NoQuorum: it is not known to be durable.
+        """
+        await self._write(turn.program_id, messages.KeepTurn(turn), timeout_s)
+
+    def settle(self, entry: history.Entry) -> None:
+        """Record what a turn used, without waiting."""
+        self._background.spawn(self._settle(entry))
+
+    async def _settle(self, entry):
+        with contextlib.suppress(errors.NoQuorum):
+            await self._write(
+                entry.program_id, messages.SettleTurn(entry), SETTLE_TIMEOUT_S
+            )
+
+    async def _write(self, program_id, message, timeout_s):
+        names = [f.instance_id for f in self.replicas(program_id)]
+        if len(names) < self.needed:
+            raise errors.NoQuorum(len(names), self.needed)
+        round_ = _Round(self._links, dict.fromkeys(names, message), timeout_s)
+        await round_.until(functools.partial(_is_count, self.needed))
+        if len(round_.replies) < self.needed:
+            raise errors.NoQuorum(len(round_.replies), self.needed)
+
+    def _sure_count(self, known):
+        """Return how many folders must lack a turn for it not to exist."""
+        if known < 2 * self._losses + 1:
+            return max(known, self.needed)
+        return known - self._losses
+
+
+class _Round:
+    """One message to each of several peers, and their replies.
+
+    A peer that is silent is asked again until the replies are enough or the
+    time is up; those asked already go on after that.
+    """
+
+    def __init__(self, links, asked, timeout_s):
+        self.replies: dict[str, object] = {}
+        self._links = links
+        self._end_s = asyncio.get_running_loop().time() + timeout_s
+        self._is_over = False
+        self._pending = {
+            asyncio.create_task(self._ask(name, message))
+            for name, message in asked.items()
+        }
+
+    async def until(self, is_enough, timeout_s=None):
+        """Wait for replies until a predicate holds or the time is up."""
+        loop = asyncio.get_running_loop()
+        end_s = None if timeout_s is None else loop.time() + timeout_s
+        while self._pending and not is_enough(self.replies):
+            left_s = None if end_s is None else end_s - loop.time()
+            if left_s is not None and left_s <= 0:
+                break
+            _, self._pending = await asyncio.wait(
+                self._pending,
+                timeout=left_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        self._is_over = True
+
+    async def _ask(self, name, message):
+        loop = asyncio.get_running_loop()
+        while True:
+            left_s = self._end_s - loop.time()
+            if left_s <= 0:
+                return
+            with contextlib.suppress(errors.LinkError):
+                self.replies[name] = await self._links.request(
+                    name, message, min(left_s, TRY_TIMEOUT_S)
+                )
+                return
+            if self._is_over:
+                return
+            await asyncio.sleep(RETRY_S)
+
+
+def _whole(round_):
+    return [reply for reply in round_.replies.values() if reply.is_whole]
+
+
+def _has(name, replies):
+    return name in replies
+
+
+def _is_whole(needed, replies):
+    return sum(reply.is_whole for reply in replies.values()) >= needed
+
+
+def _is_count(needed, replies):
+    return len(replies) >= needed
+
+
+def _is_never(_replies):
+    return False
+
+
+def _has_chain(replies):
+    return any(reply.chain is not None for reply in replies.values())
--- a/balsamdale/zeromq.py
+++ b/balsamdale/zeromq.py
@@ -86,12 +86,14 @@
         if dealer is None:
             raise errors.LinkTimeout(peer_id, name)
         call_id, replies = dealer.start(codec.encode(message), ASK)
+        heard = dealer.frames_read
         try:
             async with asyncio.timeout(timeout_s):
                 kind, payload = await replies.get()
         except TimeoutError as error:
             # The connection may be dead while a new one would work.
-            self._drop(peer_id)
+            if dealer.frames_read == heard:
+                self._drop_dealer(peer_id, dealer)
             raise errors.LinkTimeout(peer_id, name) from error
         finally:
             dealer.finish(call_id, False)
@@ -166,6 +168,11 @@
             self._dealers[peer_id] = dealer
         return self._dealers[peer_id]
 
+    def _drop_dealer(self, peer_id, dealer):
+        """Close a connection unless a newer one took its place."""
+        if self._dealers.get(peer_id) is dealer:
+            self._drop(peer_id)
+
     def _drop(self, peer_id):
         dealer = self._dealers.pop(peer_id, None)
         if dealer is not None:
@@ -291,6 +298,7 @@
         self._monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
         self._watching = asyncio.create_task(self._watch())
         self._ids = itertools.count(1)
+        self.frames_read = 0
         self._waiting: dict[int, asyncio.Queue] = {}
         self._reading = asyncio.create_task(self._read())
         self._is_closed = False
@@ -330,6 +338,7 @@
         while True:
             frame = await self._socket.recv()
             self._owner.received_bytes += len(frame)
+            self.frames_read += 1
             kind, call_id = HEAD.unpack_from(frame)
             replies = self._waiting.get(call_id)
             if replies is not None:
