--- a/balsamdale/archive.py
+++ b/balsamdale/archive.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import asyncio
 import collections
 from collections import abc as collections_abc
 import dataclasses
@@ -30,7 +31,7 @@
 PULL_BYTES = 262144
 CHAIN_LIMIT = 256
 
-Record = history.Turn | history.Entry
+Record = history.Turn | history.Charge
 Cursor = tuple[int, int]
 
 
@@ -56,7 +57,7 @@
     def __init__(self):
         self.folder_id = ''
         self.is_whole = False
-        self._accounts: dict[str, dict[str, history.Entry]] = {}
+        self._accounts: dict[str, dict[str, history.Charge]] = {}
 
     @abc.abstractmethod
     def find(self, turn_id: str) -> history.Turn | None:
@@ -85,6 +86,14 @@
     def expire(self, now_s: float) -> None:
         """Drop what is past its retention."""
 
+    async def sync_beside(self) -> None:
+        """Make changes durable while the event loop goes on."""
+        self.sync()
+
+    def rotate(self, now_s: float) -> None:
+        """Go on in a new file where that is due."""
+        return
+
     def close(self) -> None:
         """Sync and release the folder."""
         self.sync()
@@ -103,11 +112,11 @@
             turn_id = turn.parent_id
         return tuple(reversed(turns))
 
-    def account(self, program_id: str) -> tuple[history.Entry, ...]:
+    def account(self, program_id: str) -> tuple[history.Charge, ...]:
         """Return what is known of a program's tokens."""
         return tuple(self._accounts.get(program_id, {}).values())
 
-    def _enter(self, entry: history.Entry) -> bool:
+    def _enter(self, entry: history.Charge) -> bool:
         """Keep an entry in memory; return whether it was new."""
         account = self._accounts.setdefault(entry.program_id, {})
         held = account.get(entry.turn_id)
@@ -126,9 +135,9 @@
             del self._accounts[program_id]
 
 
-def settled(turn: history.Turn) -> history.Entry:
+def settled(turn: history.Turn) -> history.Charge:
     """Return the account's entry that a kept turn stands for."""
-    return history.Entry(
+    return history.Charge(
         turn.program_id, turn.turn_id, turn.tokens, True, turn.expires_at_s
     )
 
@@ -254,6 +263,10 @@
             self._is_dirty = False
             os.fdatasync(self._file.fileno())
 
+    async def sync_beside(self) -> None:
+        # The thread that syncs waits for the disk; the loop must not.
+        await asyncio.to_thread(self.sync)
+
     def close(self) -> None:
         self.sync()
         self._file.close()
@@ -283,7 +296,6 @@
         self._expire_accounts(now_s)
 
     def rotate(self, now_s: float) -> None:
-        """Go on in a new segment where the current one is large or old."""
         segment = self._current
         is_old = now_s - segment.started_at_s > SEGMENT_AGE_S
         if segment.size_bytes and (
--- a/balsamdale/archive_messages.py
+++ b/balsamdale/archive_messages.py
@@ -49,7 +49,7 @@
     """
 
     is_whole: bool
-    entries: tuple[history.Entry, ...]
+    entries: tuple[history.Charge, ...]
     chain: tuple[history.Turn, ...] | None
 
 
@@ -79,7 +79,7 @@
 class SettleTurn:
     """Record what a turn used that is not kept."""
 
-    entry: history.Entry
+    entry: history.Charge
 
 
 @codec.message
@@ -102,6 +102,6 @@
     """Records with the position after them; none at the end."""
 
     turns: tuple[history.Turn, ...]
-    entries: tuple[history.Entry, ...]
+    entries: tuple[history.Charge, ...]
     segment: int
     offset: int
--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -67,9 +67,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now_s = self._clock()
             self.archive.expire(now_s)
-            if self._syncing is None and isinstance(
-                self.archive, archive.DiskArchive
-            ):
+            if self._syncing is None:
                 self.archive.rotate(now_s)
 
     async def catch_up(self) -> None:
@@ -174,7 +172,7 @@
             while self._waiting is not None:
                 waiting, self._waiting = self._waiting, None
                 try:
-                    await asyncio.to_thread(self.archive.sync)
+                    await self.archive.sync_beside()
                 except OSError as error:
                     waiting.set_exception(error)
                     background.retrieve(waiting)
@@ -188,7 +186,7 @@
         self.opened += 1
         if message.tokens:
             self.archive.put(
-                history.Entry(
+                history.Charge(
                     message.program_id,
                     message.turn_id,
                     message.tokens,
@@ -226,6 +224,6 @@
         records, cursor = self.archive.read((message.segment, message.offset))
         yield messages.Records(
             tuple(r for r in records if isinstance(r, history.Turn)),
-            tuple(r for r in records if isinstance(r, history.Entry)),
+            tuple(r for r in records if isinstance(r, history.Charge)),
             *cursor,
         )
--- a/balsamdale/codec.py
+++ b/balsamdale/codec.py
@@ -25,7 +25,13 @@
 
 @typing.dataclass_transform(frozen_default=True)
 def message(cls: type[T]) -> type[T]:
-    """Make a class a frozen data class that frames can carry."""
+    """Make a class a frozen data class that frames can carry.
+
+    Raises:
+        ValueError: another class has the same name on the wire.
+    """
+    if cls.__name__ in _TYPES:
+        raise ValueError(f'two messages are called {cls.__name__!r}')
     frozen = dataclasses.dataclass(frozen=True)(cls)
     _TYPES[cls.__name__] = frozen
     return frozen
--- a/balsamdale/history.py
+++ b/balsamdale/history.py
@@ -11,7 +11,7 @@
 from balsamdale import codec
 
 __all__ = [
-    'Entry',
+    'Charge',
     'Turn',
     'assemble',
     'merge',
@@ -43,7 +43,7 @@
 
 
 @codec.message
-class Entry:
+class Charge:
     """One line of a program's token account.
 
     Attributes:
@@ -72,10 +72,10 @@
 
 
 def merge(
-    accounts: collections_abc.Iterable[collections_abc.Iterable[Entry]],
-) -> dict[str, Entry]:
+    accounts: collections_abc.Iterable[collections_abc.Iterable[Charge]],
+) -> dict[str, Charge]:
     """Join what several replicas know; a settled entry goes first."""
-    merged: dict[str, Entry] = {}
+    merged: dict[str, Charge] = {}
     for entries in accounts:
         for entry in entries:
             held = merged.get(entry.turn_id)
@@ -84,7 +84,7 @@
     return merged
 
 
-def spent_tokens(merged: dict[str, Entry], without: str) -> int:
+def spent_tokens(merged: dict[str, Charge], without: str) -> int:
     """Return the tokens of an account, leaving out one turn."""
     return sum(
         entry.tokens for name, entry in merged.items() if name != without
--- a/balsamdale/keyvalue.py
+++ b/balsamdale/keyvalue.py
@@ -174,13 +174,14 @@
         self, prefix: str, revision: int, wait_s: float
     ) -> tuple[tuple[Change, ...], int]:
         await self._check()
-        if revision < self._kept_after:
-            raise errors.HistoryLost('history was dropped')
+        self._check_kept(revision)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
                 while not self._changes_after(prefix, revision):
                     await self._changed.wait()
+                    self._check_kept(revision)
         await self._check()
+        self._check_kept(revision)
         return self._changes_after(prefix, revision), self.revision
 
     async def grant(self, ttl_s: float) -> int:
@@ -222,6 +223,10 @@
         self._kept_after = self.revision
         self._changes.clear()
 
+    def _check_kept(self, revision):
+        if revision < self._kept_after:
+            raise errors.HistoryLost('history was dropped')
+
     def _changes_after(self, prefix, revision):
         return tuple(
             change
--- a/balsamdale/members.py
+++ b/balsamdale/members.py
@@ -47,7 +47,7 @@
 
 
 @codec.message
-class Ping:
+class AskAlive:
     """Asks whether an instance is alive."""
 
 
@@ -73,7 +73,7 @@
         self._registered: set[str] = set()
         self._background = background.Background('members')
         self.is_leaving = False
-        links.serve(Ping, self._on_ping)
+        links.serve(AskAlive, self._on_ping)
 
     def changed(self, key: str, value: bytes | None) -> None:
         """Account for a change of a registration in the mirror."""
@@ -117,7 +117,7 @@
         while instance_id not in self._registered:
             try:
                 reply = await self._links.request(
-                    instance_id, Ping(), PROBE_TIMEOUT_S
+                    instance_id, AskAlive(), PROBE_TIMEOUT_S
                 )
                 misses = PROBE_TRIES if reply.is_leaving else 0
             except errors.LinkError:
--- a/balsamdale/mirror.py
+++ b/balsamdale/mirror.py
@@ -93,8 +93,8 @@
         pairs: collections_abc.Iterable[keyvalue.Pair],
         through: int,
     ) -> bool:
-        """Replace the copy by a later one; return whether it was later."""
-        if through <= self.through:
+        """Replace the copy unless it is further; return whether it was."""
+        if through < self.through:
             return False
         found = {pair.key: pair for pair in pairs}
         gone = self._pairs.keys() - found.keys()
--- a/balsamdale/quorum.py
+++ b/balsamdale/quorum.py
@@ -171,7 +171,7 @@
         """
         await self._write(turn.program_id, messages.KeepTurn(turn), timeout_s)
 
-    def settle(self, entry: history.Entry) -> None:
+    def settle(self, entry: history.Charge) -> None:
         """Record what a turn used, without waiting."""
         self._background.spawn(self._settle(entry))
 
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -210,7 +210,7 @@
         finally:
             if settles:
                 self._context.quorum.settle(
-                    history.Entry(
+                    history.Charge(
                         call.program_id,
                         call.request_id,
                         self._handed_tokens(job),
--- /dev/null
+++ b/standins/routed.py
@@ -0,0 +1,101 @@
+"""Stand-in for a backend server that takes routed requests.
+
+Answers by the platform's published headers. Streams give a few events whose
+data tells how long the prompt was.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+
+from aiohttp import web
+
+__all__ = ['RoutedServer']
+
+
+@dataclasses.dataclass
+class Switches:
+    """Faults that can be turned on.
+
+    `refuse` answers the next requests with a proof that they did not run;
+    `drop` runs the next ones and closes their connections.
+    """
+
+    delay_s: float = 0.0
+    events: int = 3
+    event_gap_s: float = 0.0
+    refuse: int = 0
+    drop: int = 0
+    break_after: int = 0
+
+
+class RoutedServer:
+    """The server's state and its HTTP handlers.
+
+    Args:
+        server_id: its id in the registration.
+        slots: requests that it says it runs at once.
+    """
+
+    def __init__(self, server_id: str, slots: int = 8):
+        self.server_id = server_id
+        self.slots = slots
+        self.switches = Switches()
+        self.running = 0
+        self.cancelled = 0
+        self.bodies: dict[str, bytes] = {}
+        self.runs: list[str] = []
+        self.deadlines_ms: list[int] = []
+
+    def app(self) -> web.Application:
+        """Return the web application."""
+        app = web.Application(client_max_size=2**24)
+        app.router.add_route('*', '/{path:.*}', self._run)
+        return app
+
+    async def _run(self, request):
+        request_id = request.headers['X-Request-Id']
+        headers = {
+            'X-Request-Id': request_id,
+            'X-Server-Load': f'{self.running},0,{self.slots}',
+        }
+        if request.headers['X-Expect-Instance'] != self.server_id:
+            return web.Response(status=421, headers=headers)
+        if self.switches.refuse:
+            self.switches.refuse -= 1
+            headers['X-Not-Executed'] = '1'
+            return web.Response(status=503, headers=headers)
+        body = await request.read()
+        self.deadlines_ms.append(int(request.headers['X-Deadline-Ms']))
+        self.runs.append(request_id)
+        self.bodies[request_id] = body
+        headers['X-Server-Seal'] = hashlib.sha256(body).hexdigest()[:8]
+        self.running += 1
+        try:
+            return await self._answer(request, headers, body)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.running -= 1
+
+    async def _answer(self, request, headers, body):
+        await asyncio.sleep(self.switches.delay_s)
+        if self.switches.drop:
+            self.switches.drop -= 1
+            request.transport.abort()
+            return web.Response()
+        if 'X-Token-Usage' not in request.headers:
+            return web.Response(body=b'done ' + body, headers=headers)
+        response = web.StreamResponse(headers=headers)
+        response.content_type = 'text/event-stream'
+        await response.prepare(request)
+        for number in range(1, self.switches.events + 1):
+            data = f'id: {number}\ndata: e{number}-{len(body)}\n\n'
+            await response.write(data.encode())
+            await asyncio.sleep(self.switches.event_gap_s)
+            if number == self.switches.break_after:
+                request.transport.abort()
+                return response
+        await response.write_eof()
+        return response
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,103 @@
+"""Tests of the platform's request headers."""
+
+import multidict
+import pytest
+
+from balsamdale import errors
+from balsamdale.platform import headers
+
+FORM = headers.PlatformWire()
+
+
+def call(**extra):
+    given = multidict.CIMultiDict({'Host': 'H.example:80', **extra})
+    given.setdefault('X-Request-Id', 'q')
+    return FORM.call('POST', '/a/b?c=%20d', given, b'in')
+
+
+def test_turn_is_decoded():
+    found = call(
+        **{
+            'X-Deadline-Ms': '1500',
+            'X-Program-Id': 'p',
+            'X-Previous-Turn': 't',
+            'X-Token-Budget': '4600',
+            'X-Token-Usage': '1840,575',
+            'X-Finish-Ms': '5200',
+        }
+    )
+    assert found.host == 'h.example'
+    assert found.path == '/a/b'
+    assert found.patience_s == 1.5
+    assert (found.program_id, found.parent_id) == ('p', 't')
+    assert found.budget_tokens == 4600
+    assert (found.prompt_tokens, found.answer_tokens) == (1840, 575)
+    assert found.finish_s == 5.2
+    assert found.affinity == 'p'
+
+
+def test_request_without_a_program_is_bound_to_its_last_part():
+    assert call(**{'X-Prompt-Prefix': 'aa:800,bb:20'}).affinity == 'bb'
+
+
+@pytest.mark.parametrize(
+    'extra',
+    [
+        {'X-Request-Id': ''},
+        {'X-Deadline-Ms': 'soon'},
+        {'X-Token-Budget': '-1'},
+        {'X-Token-Budget': '1e3'},
+        {'X-Token-Usage': 'a,b'},
+    ],
+)
+def test_malformed_request_is_refused(extra):
+    with pytest.raises(errors.Refused) as caught:
+        call(**extra)
+    assert caught.value.status == 400
+
+
+def test_headers_that_are_the_systems_are_dropped():
+    found = call(
+        **{
+            'X-Hold': '1',
+            'X-Pin-Ms': '9',
+            'X-Kv-Backup': 'a',
+            'Kv-From': 'b',
+            'Kv-Fetch': 'c',
+            'X-Expect-Instance': 'd',
+            'Connection': 'close, X-Only-Here',
+            'X-Only-Here': 'e',
+            'Transfer-Encoding': 'chunked',
+            'X-Model': 'm',
+        }
+    )
+    names = {name for name, _ in found.headers}
+    assert names == {'Host', 'X-Request-Id', 'X-Model'}
+
+
+def test_attempt_names_its_server_and_what_is_left():
+    sent = dict(FORM.request_headers(call(), 'i-1', 0.2509))
+    assert sent['X-Deadline-Ms'] == '250'
+    assert sent['X-Expect-Instance'] == 'i-1'
+    assert sent['X-Request-Id'] == 'q'
+
+
+def test_facts_of_an_answer():
+    given = multidict.CIMultiDict(
+        {'X-Server-Seal': 's', 'X-Server-Load': '3, 0,8'}
+    )
+    facts = FORM.facts(200, given)
+    assert facts.is_signed
+    assert not facts.was_not_run
+    assert (facts.load.running, facts.load.slots) == (3, 8)
+    assert FORM.facts(503, {'X-Not-Executed': '1'}).was_not_run
+    assert FORM.facts(421, {}).was_not_run
+    assert not FORM.facts(503, {}).was_not_run
+    assert FORM.facts(200, {'X-Server-Load': 'x'}).load is None
+
+
+def test_refusal_says_when_to_come_back():
+    refused = errors.Refused('no_room', 503, '', 'no', 0.25)
+    assert ('Retry-After', '0.250') in FORM.refusal_headers('q', refused)
+    final = errors.Refused('no_route', 404, '')
+    assert FORM.refusal_headers('q', final) == [('X-Request-Id', 'q')]
--- /dev/null
+++ b/tests/routed_site.py
@@ -0,0 +1,230 @@
+"""A small deployment on stand-ins: entries, archives, servers, a store."""
+
+import asyncio
+import contextlib
+import json
+import socket
+
+import aiohttp
+from aiohttp import test_utils
+
+from balsamdale import node
+from balsamdale.platform import adapter
+from balsamdale import settings
+from standins import platform_store
+from standins import routed
+
+HOST = 'h.example'
+TURNS = {
+    'name': 'turns',
+    'host': HOST,
+    'path_prefix': '/turns/',
+    'kind': 'streaming',
+    'timeout_ms': 3000,
+    'slo_ms': 200,
+    'priority': 0,
+    'service': 'engines',
+    'attempts': 2,
+    'retain_context': True,
+    'keep_s': 60.0,
+    'gap_aim_ms': 250,
+}
+ROUTES = [
+    TURNS,
+    {
+        **TURNS,
+        'name': 'reads',
+        'path_prefix': '/reads/',
+        'kind': 'idempotent',
+        'service': 'plain',
+        'timeout_ms': 1000,
+        'retain_context': False,
+    },
+    {
+        **TURNS,
+        'name': 'alerts',
+        'path_prefix': '/alerts/',
+        'kind': 'non_idempotent',
+        'service': 'plain',
+        'timeout_ms': 1000,
+        'retain_context': False,
+    },
+]
+
+
+def free_address():
+    """Return an address whose port the system chose."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+class Site:
+    """A deployment of two entries and three archives."""
+
+    def __init__(self, folder):
+        self._folder = folder
+        self._stack = contextlib.AsyncExitStack()
+        self._ids = iter(range(1, 10**6))
+        self.store = platform_store.PlatformStoreServer()
+        self.store_address = ''
+        self.servers: dict[str, routed.RoutedServer] = {}
+        self.nodes: dict[str, node.Node] = {}
+
+    async def __aenter__(self):
+        self.store_address = await self._serve(self.store.app())
+        self.configure(1, ROUTES)
+        for name in ('engine-1', 'engine-2'):
+            await self.add_server(name, 'engines')
+        for name in ('plain-1', 'plain-2'):
+            await self.add_server(name, 'plain')
+        for name in ('archive-a', 'archive-b', 'archive-c'):
+            await self.start(name, 'archive', is_first_start=True)
+        for name in ('entry-a', 'entry-b'):
+            await self.start(name, 'entry')
+        await self.wait(self._is_up)
+        self.client = await self._stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        for name in list(self.nodes):
+            await self.stop(name)
+        await self._stack.aclose()
+
+    def configure(self, version, rows):
+        """Write a configuration as the operator does."""
+        config = {
+            'version': version,
+            'routes': rows,
+            'services': [
+                {
+                    'name': 'engines',
+                    'max_conns': 50,
+                    'engine': {'slots': 8, 'tokens_per_event': 10},
+                },
+                {'name': 'plain', 'max_conns': 50},
+            ],
+        }
+        self.store.write('op/config', json.dumps(config).encode())
+
+    async def add_server(self, name, service):
+        """Start a backend server and register it."""
+        server = routed.RoutedServer(name)
+        address = await self._serve(server.app())
+        self.servers[name] = server
+        self.register(name, service, address)
+
+    def register(self, name, service, address, **changes):
+        """Write a server's registration."""
+        row = {
+            'service': service,
+            'address': address,
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'seq': 1,
+        }
+        value = json.dumps({**row, **changes}).encode()
+        self.store.write(f'servers/{name}', value)
+
+    async def start(self, name, role, **changes):
+        """Start an instance."""
+        fields = {
+            'instance_id': name,
+            'role': role,
+            'failure_domain': name[-1],
+            'link_address': free_address(),
+            'key_value_address': self.store_address,
+            'grace_s': 1.5,
+        }
+        if role == 'entry':
+            for key in ('entry', 'ready', 'registry'):
+                fields[f'{key}_address'] = free_address()
+        else:
+            fields['data_folder'] = str(self._folder / name)
+        given = settings.NodeSettings(**{**fields, **changes})
+        running = node.ROLES[role](given, adapter.PlatformAdapter())
+        self.nodes[name] = running
+        await running.start()
+        return running
+
+    async def stop(self, name):
+        """Stop an instance at once."""
+        await self.nodes.pop(name).close()
+
+    async def wait(self, is_true, timeout_s=10.0):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(timeout_s):
+            while not is_true():
+                await asyncio.sleep(0.02)
+
+    async def post(self, path, body=b'', entry='entry-a', **headers):
+        """Send a request; return status, body and headers."""
+        address = self.nodes[entry].settings.entry_address
+        given = {
+            'Host': HOST,
+            'X-Request-Id': f'q{next(self._ids)}',
+            'X-Deadline-Ms': '3000',
+            **headers,
+        }
+        async with self.client.post(
+            f'http://{address}{path}', data=body, headers=given
+        ) as response:
+            return response.status, await response.read(), response.headers
+
+    async def turn(self, turn_id, parent='', program='p', budget=0, **more):
+        """Send a turn; its input is its id in brackets."""
+        headers = {
+            'X-Request-Id': turn_id,
+            'X-Program-Id': program,
+            'X-Token-Usage': '100,30',
+        }
+        if parent:
+            headers['X-Previous-Turn'] = parent
+        if budget:
+            headers['X-Token-Budget'] = str(budget)
+        return await self.post(
+            '/turns/x', f'[{turn_id}]'.encode(), **{**headers, **more}
+        )
+
+    def ran(self, request_id):
+        """Return how often servers ran a request."""
+        return sum(s.runs.count(request_id) for s in self.servers.values())
+
+    def prompt(self, request_id):
+        """Return the body that a server received."""
+        for server in self.servers.values():
+            if request_id in server.bodies:
+                return server.bodies[request_id]
+        return None
+
+    def _is_up(self):
+        return all(
+            running.is_ready()
+            and len(running.roster.archives()) == 3
+            and len(running.roster.entries()) == 2
+            and len(running.directory.ready('plain')) == 2
+            for running in self.nodes.values()
+            if isinstance(running, node.EntryNode)
+        )
+
+    async def _serve(self, app):
+        server = await self._stack.enter_async_context(
+            test_utils.TestServer(app)
+        )
+        return f'{server.host}:{server.port}'
+
+
+def run(folder, scenario):
+    """Run a scenario on a site."""
+
+    async def main():
+        async with asyncio.timeout(60.0):
+            async with Site(folder) as site:
+                await scenario(site)
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/test_archive.py
@@ -0,0 +1,135 @@
+"""Tests of the archives; both forms pass the same ones."""
+
+import pytest
+
+from balsamdale import archive
+from tests import builders_routed as builders
+
+
+@pytest.fixture(params=['memory', 'disk'])
+def held(request, tmp_path):
+    if request.param == 'memory':
+        return archive.MemoryArchive()
+    return archive.DiskArchive(str(tmp_path), True, 0.0)
+
+
+def reopened(folder):
+    return archive.DiskArchive(str(folder), False, 0.0)
+
+
+def test_chain_is_found_oldest_first(held):
+    for number in (1, 2, 3):
+        held.put(builders.turn(number, number - 1))
+    held.sync()
+    assert [t.turn_id for t in held.chain('t3')] == ['t1', 't2', 't3']
+    assert held.chain('t9') is None
+
+
+def test_chain_with_a_hole_is_none(held):
+    held.put(builders.turn(1))
+    held.put(builders.turn(3, 2))
+    assert held.chain('t3') is None
+
+
+def test_account_settles_once(held):
+    held.put(builders.entry(1, 100))
+    assert held.account('p') == (builders.entry(1, 100),)
+    held.put(builders.entry(1, 30, True))
+    held.put(builders.entry(1, 100))
+    assert held.account('p') == (builders.entry(1, 30, True),)
+
+
+def test_kept_turn_settles_its_account(held):
+    held.put(builders.entry(1, 100))
+    held.put(builders.turn(1))
+    assert held.account('p')[0].tokens == 1
+    assert held.account('p')[0].is_settled
+
+
+def test_read_returns_every_record(held):
+    put = [builders.turn(n, size=50000) for n in range(1, 20)]
+    put.append(builders.entry(77, 5))
+    for record in put:
+        held.put(record)
+    found, cursor = [], (0, 0)
+    while True:
+        records, cursor = held.read(cursor)
+        if not records:
+            break
+        found.extend(records)
+    assert found == put
+    held.put(builders.turn(99))
+    assert held.read(cursor)[0] == (builders.turn(99),)
+
+
+def test_expired_accounts_are_dropped(held):
+    held.put(builders.entry(1, 100, expires_at_s=5.0))
+    held.expire(4.0)
+    assert held.account('p')
+    held.expire(6.0)
+    assert not held.account('p')
+
+
+def test_reopened_folder_has_all(tmp_path):
+    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held.put(builders.turn(1))
+    held.put(builders.entry(2, 50))
+    held.close()
+    again = reopened(tmp_path)
+    assert again.folder_id == held.folder_id
+    assert again.is_whole
+    assert again.chain('t1') == (builders.turn(1),)
+    assert len(again.account('p')) == 2
+
+
+def test_empty_folder_after_the_first_start_is_not_whole(tmp_path):
+    assert not reopened(tmp_path).is_whole
+    held = reopened(tmp_path)
+    held.set_whole()
+    assert reopened(tmp_path).is_whole
+
+
+@pytest.mark.parametrize('cut', [1, 5, 30])
+def test_torn_tail_is_cut(tmp_path, cut):
+    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held.put(builders.turn(1))
+    held.put(builders.turn(2))
+    held.close()
+    path = next(tmp_path.glob('*.log'))
+    path.write_bytes(path.read_bytes()[:-cut])
+    again = reopened(tmp_path)
+    assert again.find('t1') == builders.turn(1)
+    assert again.find('t2') is None
+    again.put(builders.turn(3))
+    again.close()
+    assert reopened(tmp_path).find('t3') == builders.turn(3)
+
+
+def test_spoiled_record_ends_its_segment(tmp_path):
+    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held.put(builders.turn(1))
+    held.put(builders.turn(2))
+    held.close()
+    path = next(tmp_path.glob('*.log'))
+    data = bytearray(path.read_bytes())
+    data[-3] ^= 0xFF
+    path.write_bytes(data)
+    assert reopened(tmp_path).find('t1') == builders.turn(1)
+    assert reopened(tmp_path).find('t2') is None
+
+
+def test_unreadable_identity_is_not_whole(tmp_path):
+    archive.DiskArchive(str(tmp_path), True, 0.0).close()
+    (tmp_path / archive.IDENTITY_NAME).write_bytes(b'{')
+    assert not reopened(tmp_path).is_whole
+
+
+def test_old_segments_are_deleted(tmp_path):
+    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held.put(builders.turn(1, expires_at_s=10.0))
+    held.rotate(archive.SEGMENT_AGE_S + 1)
+    held.put(builders.turn(2, expires_at_s=100.0))
+    held.expire(50.0)
+    assert held.find('t1') is None
+    assert held.find('t2') is not None
+    assert len(list(tmp_path.glob('*.log'))) == 1
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,101 @@
+"""Tests of the choice of a backend server."""
+
+from balsamdale import balance
+from balsamdale import wire
+from tests import builders_routed as builders
+
+NOW_S = 100.0
+
+
+def chosen(balancer, servers, affinity='', excluded=frozenset(), now_s=NOW_S):
+    choice = balancer.choose(servers, affinity, excluded, now_s)
+    return choice.server.server_id if choice is not None else None
+
+
+def test_least_loaded_server_is_chosen():
+    balancer = balance.Balancer('a')
+    servers = [builders.server('x'), builders.server('y')]
+    balancer.started('x')
+    assert chosen(balancer, servers) == 'y'
+    balancer.ended('x')
+    balancer.told('y', wire.ToldLoad(3, 0, 4), NOW_S)
+    assert chosen(balancer, servers) == 'x'
+
+
+def test_own_requests_are_not_counted_twice():
+    balancer = balance.Balancer('a')
+    x = builders.server('x')
+    balancer.started('x')
+    balancer.told('x', wire.ToldLoad(1, 0, 4), NOW_S)
+    assert balancer.load(x, NOW_S) == 1
+    balancer.ended('x')
+    assert balancer.load(x, NOW_S) == 0
+
+
+def test_told_load_fades():
+    balancer = balance.Balancer('a')
+    x = builders.server('x')
+    balancer.told('x', wire.ToldLoad(4, 0, 4), NOW_S)
+    assert balancer.load(x, NOW_S) == 4
+    later_s = NOW_S + balance.TOLD_HALF_LIFE_S
+    assert balancer.load(x, later_s) == 2
+
+
+def test_full_servers_are_not_chosen():
+    balancer = balance.Balancer('a')
+    servers = [builders.server('x', slots=2)]
+    for _ in range(4):
+        assert chosen(balancer, servers) == 'x'
+        balancer.started('x')
+    assert chosen(balancer, servers) is None
+
+
+def test_own_failure_domain_goes_first_until_it_is_busier():
+    balancer = balance.Balancer('a')
+    near = builders.server('near')
+    far = builders.server('far', failure_domain='b')
+    assert chosen(balancer, [far, near]) == 'near'
+    balancer.started('near')
+    assert chosen(balancer, [far, near]) == 'far'
+
+
+def test_program_returns_to_the_same_server_on_every_instance():
+    servers = [builders.server(name, slots=32) for name in 'uvwxyz']
+    homes = {
+        chosen(balance.Balancer('a'), servers, 'program-7') for _ in range(5)
+    }
+    assert len(homes) == 1
+    spread = {
+        chosen(balance.Balancer('a'), servers, f'program-{n}')
+        for n in range(100)
+    }
+    assert spread == set('uvwxyz')
+
+
+def test_program_leaves_a_server_that_is_much_busier():
+    balancer = balance.Balancer('a')
+    servers = [builders.server('x', slots=10), builders.server('y', slots=10)]
+    home = chosen(balancer, servers, 'p')
+    for _ in range(3):
+        balancer.started(home)
+    assert chosen(balancer, servers, 'p') != home
+
+
+def test_unreachable_server_is_left_alone_for_a_while():
+    balancer = balance.Balancer('a')
+    servers = [builders.server('x')]
+    balancer.failed('x', NOW_S)
+    assert chosen(balancer, servers) is None
+    assert chosen(balancer, servers, now_s=NOW_S + 0.6) == 'x'
+    for _ in range(10):
+        balancer.failed('x', NOW_S)
+    later_s = NOW_S + balance.LONGEST_SUSPECT_S
+    assert chosen(balancer, servers, now_s=later_s - 0.1) is None
+    assert chosen(balancer, servers, now_s=later_s) == 'x'
+
+
+def test_restarted_server_begins_without_a_past():
+    balancer = balance.Balancer('a')
+    balancer.failed('x', NOW_S)
+    servers = [builders.server('x', started_ms=5)]
+    assert chosen(balancer, servers) == 'x'
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,26 @@
+"""Tests of the reader of event streams."""
+
+import pytest
+
+from balsamdale import events
+
+STREAM = b'id: 1\ndata: ab\n\nid: 2\r\ndata: c\r\ndata: d\r\n\r\n: hi\n\n'
+
+
+@pytest.mark.parametrize('size', range(1, len(STREAM) + 1))
+def test_any_split_gives_the_same_events(size):
+    reader = events.EventReader()
+    for start in range(0, len(STREAM), size):
+        reader.feed(STREAM[start : start + size])
+    assert reader.count == 2
+    assert bytes(reader.output) == b'ab\nc\nd\n'
+    assert reader.is_clean
+
+
+def test_broken_event_is_not_clean():
+    reader = events.EventReader()
+    reader.feed(b'id: 1\ndata: ab\n\nid: 2\nda')
+    assert reader.count == 1
+    assert not reader.is_clean
+    reader.feed(b'ta: x\n')
+    assert not reader.is_clean
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,137 @@
+"""Tests of registrations under leases."""
+
+import asyncio
+import random
+
+from balsamdale import codec
+from balsamdale import keyvalue
+from balsamdale import link
+from balsamdale import members
+from balsamdale import mirror
+from tests import virtual
+
+
+class Site:
+    """Instances that register and follow each other."""
+
+    def __init__(self, *names):
+        self.store = keyvalue.MemoryKeyValue()
+        self.network = link.MemoryNetwork()
+        self.rosters = {}
+        self.presences = {}
+        self.tasks = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name):
+        links = link.MemoryLinks(name, self.network)
+        copy = mirror.Mirror()
+        roster = members.Roster(links, name)
+        copy.listen(members.PREFIX, roster.changed)
+        follower = mirror.Follower(
+            copy, self.store, links, list, random.Random(name)
+        )
+        member = members.Member(name, 'a', f'{name}:1', f'{name}:2')
+        presence = members.Presence(self.store, lambda: member, copy.get)
+        self.rosters[name] = roster
+        self.presences[name] = presence
+        self.tasks[name] = [
+            asyncio.create_task(follower.run()),
+            asyncio.create_task(presence.run()),
+        ]
+
+    def kill(self, name):
+        for task in self.tasks[name]:
+            task.cancel()
+        for other in self.rosters:
+            self.network.cuts.add((other, name))
+            self.network.cuts.add((name, other))
+
+    def known(self, name):
+        entries = self.rosters[name].entries()
+        return {member.instance_id for member in entries}
+
+
+def test_instances_find_each_other():
+    async def scenario():
+        site = Site('x', 'y', 'z')
+        await asyncio.sleep(0.5)
+        assert site.known('x') == {'x', 'y', 'z'}
+
+    virtual.run(scenario())
+
+
+def test_dead_instance_is_dropped_once_its_lease_ends():
+    async def scenario():
+        site = Site('x', 'y')
+        await asyncio.sleep(0.5)
+        site.kill('y')
+        site.store.lapse(2)
+        await asyncio.sleep(5.0)
+        assert site.known('x') == {'x'}
+
+    virtual.run(scenario())
+
+
+def test_live_instance_survives_a_lapse_of_all_leases():
+    async def scenario():
+        site = Site('x', 'y')
+        await asyncio.sleep(0.5)
+        site.store.lapse(1)
+        site.store.lapse(2)
+        await asyncio.sleep(0.2)
+        assert site.known('x') == {'x', 'y'}
+        await asyncio.sleep(5.0)
+        assert site.known('x') == {'x', 'y'}
+        pairs, _ = await site.store.scan(members.PREFIX)
+        assert len(pairs) == 2
+
+    virtual.run(scenario())
+
+
+def test_live_instance_is_kept_while_it_cannot_register():
+    async def scenario():
+        site = Site('x', 'y')
+        await asyncio.sleep(0.5)
+        for task in site.tasks['y']:
+            task.cancel()
+        site.store.lapse(2)
+        await asyncio.sleep(10.0)
+        assert site.known('x') == {'x', 'y'}
+
+    virtual.run(scenario())
+
+
+def test_leaving_instance_is_dropped():
+    async def scenario():
+        site = Site('x', 'y')
+        await asyncio.sleep(0.5)
+        site.rosters['y'].is_leaving = True
+        site.tasks['y'][1].cancel()
+        await site.presences['y'].leave()
+        await asyncio.sleep(1.0)
+        assert site.known('x') == {'x'}
+
+    virtual.run(scenario())
+
+
+def test_unreadable_registration_is_passed_over():
+    async def scenario():
+        site = Site('x')
+        await site.store.put(f'{members.PREFIX}bad', b'\xff\x00')
+        await asyncio.sleep(0.5)
+        assert site.known('x') == {'x'}
+
+    virtual.run(scenario())
+
+
+def test_removed_key_is_written_again():
+    async def scenario():
+        site = Site('x')
+        await asyncio.sleep(0.5)
+        site.store.remove(f'{members.PREFIX}x')
+        await asyncio.sleep(2.0)
+        pair = await site.store.get(f'{members.PREFIX}x')
+        assert codec.decode(pair.value).instance_id == 'x'
+
+    virtual.run(scenario())
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,267 @@
+"""Tests of the whole path: entries, archives, servers and a store."""
+
+import asyncio
+import base64
+import json
+
+import aiohttp
+import pytest
+
+from tests import routed_site
+
+
+def test_requests_go_to_the_service_of_their_route(tmp_path):
+    async def scenario(site):
+        status, body, headers = await site.post('/reads/x', b'1')
+        assert (status, body) == (200, b'done 1')
+        assert headers['X-Server-Seal']
+        assert 'X-Server-Load' not in headers
+        assert (await site.post('/nowhere/x'))[0] == 404
+        status, _, _ = await site.post('/reads/x', **{'X-Request-Id': ''})
+        assert status == 400
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_turns_are_rebuilt_byte_for_byte_on_any_instance(tmp_path):
+    async def scenario(site):
+        status, body, _ = await site.turn('t1')
+        assert status == 200
+        assert body.count(b'data:') == 3
+        await site.turn('t2', 't1', entry='entry-b')
+        await site.turn('t3', 't2')
+        prompt = b'[t1]e1-4\ne2-4\ne3-4\n'
+        assert site.prompt('t2') == prompt + b'[t2]'
+        prompt += b'[t2]e1-23\ne2-23\ne3-23\n'
+        assert site.prompt('t3') == prompt + b'[t3]'
+        assert (await site.turn('t4', 'unknown'))[0] == 404
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_budget_holds_over_instances(tmp_path):
+    async def scenario(site):
+        assert (await site.turn('t1', budget=70))[0] == 200
+        assert (await site.turn('t2', 't1', budget=70))[0] == 200
+        status, _, _ = await site.turn('t3', 't2', budget=70, entry='entry-b')
+        assert status == 402
+        assert site.ran('t3') == 0
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_turns_survive_lost_archives(tmp_path):
+    async def scenario(site):
+        await site.turn('t1')
+        await site.stop('archive-a')
+        assert (await site.turn('t2', 't1', entry='entry-b'))[0] == 200
+        await site.start('archive-d', 'archive')
+        new = site.nodes['archive-d']
+        await site.wait(lambda: new.archive.is_whole)
+        assert new.archive.find('t1') is not None
+        assert new.archive.find('t2') is not None
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_archive_is_emptied_on_request(tmp_path):
+    async def scenario(site):
+        await site.turn('t1')
+        site.store.write('op/retire/archive-a', b'{"duration_s": 10}')
+        key = 'status/retire/archive-a'
+
+        def is_done():
+            item = site.store._items.get(key)
+            return item is not None and b'completed' in _value(item)
+
+        await site.wait(is_done)
+        held = [
+            site.nodes[name].archive.find('t1')
+            for name in ('archive-b', 'archive-c')
+        ]
+        assert None not in held
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_answer_ends_only_once_its_turn_is_kept(tmp_path):
+    async def scenario(site):
+        for name in ('archive-a', 'archive-b'):
+            await site.stop(name)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await site.turn('t1')
+        assert site.ran('t1') == 1
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_request_that_may_not_repeat_is_sent_once(tmp_path):
+    async def scenario(site):
+        for server in site.servers.values():
+            server.switches.drop = 1
+        status, _, _ = await site.post('/alerts/x', **{'X-Request-Id': 'a1'})
+        assert status == 502
+        assert site.ran('a1') == 1
+        for server in site.servers.values():
+            server.switches.drop = 0
+        site.servers['plain-1'].switches.drop = 1
+        site.servers['plain-2'].switches.drop = 0
+        status, _, _ = await site.post('/reads/x')
+        assert status == 200
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_request_that_did_not_run_goes_elsewhere(tmp_path):
+    async def scenario(site):
+        site.servers['plain-1'].switches.refuse = 1
+        site.servers['plain-2'].switches.refuse = 1
+        first = await site.post('/alerts/x')
+        second = await site.post('/alerts/x')
+        assert {first[0], second[0]} <= {200, 503}
+        assert second[0] == 200
+        for server in site.servers.values():
+            server.switches.refuse = 10
+        status, _, headers = await site.post(
+            '/alerts/x', **{'X-Request-Id': 'a3'}
+        )
+        assert status == 503
+        assert float(headers['Retry-After']) > 0
+        assert site.ran('a3') == 0
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_broken_stream_does_not_look_whole(tmp_path):
+    async def scenario(site):
+        for server in site.servers.values():
+            server.switches.break_after = 2
+        with pytest.raises(aiohttp.ClientError):
+            await site.turn('t1')
+        for server in site.servers.values():
+            server.switches.break_after = 0
+        assert (await site.turn('t2', 't1'))[0] == 404
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_caller_that_leaves_ends_the_work(tmp_path):
+    async def scenario(site):
+        for server in site.servers.values():
+            server.switches.event_gap_s = 5.0
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.5):
+                await site.turn('t1')
+        engines = [site.servers[n] for n in ('engine-1', 'engine-2')]
+        await site.wait(lambda: not any(e.running for e in engines))
+        assert sum(engine.cancelled for engine in engines) == 1
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_route_times_out(tmp_path):
+    async def scenario(site):
+        for server in site.servers.values():
+            server.switches.delay_s = 5.0
+        status, _, headers = await site.post('/reads/x')
+        assert status == 504
+        assert 'Retry-After' not in headers
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_newer_configuration_comes_into_force_and_older_does_not(tmp_path):
+    async def scenario(site):
+        entry = site.nodes['entry-a']
+        site.configure(7, routed_site.ROUTES[:1])
+        await site.wait(lambda: entry.table.version == 7)
+        assert (await site.post('/reads/x'))[0] == 404
+        site.configure(5, routed_site.ROUTES)
+        site.store.write('op/config', b'not readable')
+        await asyncio.sleep(0.2)
+        assert entry.table.version == 7
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_draining_server_takes_no_new_work(tmp_path):
+    async def scenario(site):
+        directory = site.nodes['entry-a'].directory
+        address = directory.ready('plain')[0].address
+        name = directory.ready('plain')[0].server_id
+        site.register(name, 'plain', address, state='draining')
+        await site.wait(lambda: len(directory.ready('plain')) == 1)
+        site.store.write('servers/odd', b'\xff')
+        for _ in range(4):
+            assert (await site.post('/reads/x'))[0] == 200
+        assert not site.servers[name].runs
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_reused_address_does_not_run_the_request(tmp_path):
+    async def scenario(site):
+        directory = site.nodes['entry-a'].directory
+        address = directory.ready('plain')[0].address
+        site.store.remove('servers/plain-1')
+        site.store.remove('servers/plain-2')
+        site.register('gone', 'plain', address)
+        await site.wait(
+            lambda: [s.server_id for s in directory.ready('plain')] == ['gone']
+        )
+        status, _, _ = await site.post('/alerts/x')
+        assert status == 503
+        assert not any(server.runs for server in site.servers.values())
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_registry_and_readiness_follow_a_planned_stop(tmp_path):
+    async def scenario(site):
+        leaving = site.nodes['entry-b'].settings
+        staying = site.nodes['entry-a'].settings
+        ready = f'http://{leaving.ready_address}/api/readyz'
+        registry = (
+            f'http://{staying.registry_address}/api/resolve'
+            '?name=h.example&region=r&zone=z'
+        )
+        async with site.client.get(ready) as response:
+            assert response.status == 200
+        async with site.client.get(registry) as response:
+            answer = json.loads(await response.read())
+        assert len(answer['addresses']) == 2
+        stopping = asyncio.create_task(site.nodes['entry-b'].leave())
+        await asyncio.sleep(0.1)
+        async with site.client.get(ready) as response:
+            assert response.status == 503
+        status, _, headers = await site.post('/reads/x', entry='entry-b')
+        assert status == 200
+        assert headers['Connection'] == 'close'
+        await stopping
+        async with site.client.get(registry) as response:
+            answer = json.loads(await response.read())
+        assert answer['addresses'] == [staying.entry_address]
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_service_goes_on_while_the_store_is_away(tmp_path):
+    async def scenario(site):
+        site.store.switches.reset = True
+        site.store.lapse()
+        await asyncio.sleep(0.5)
+        assert (await site.turn('t1'))[0] == 200
+        assert (await site.turn('t2', 't1', entry='entry-b'))[0] == 200
+        site.store.switches.reset = False
+        await site.wait(
+            lambda: (
+                len([k for k in site.store.keys() if 'instances' in k]) == 5
+            )
+        )
+        assert (await site.turn('t3', 't2'))[0] == 200
+
+    routed_site.run(tmp_path, scenario)
+
+
+def _value(item):
+    return base64.b64decode(item['value'])
--- /dev/null
+++ b/tests/test_quorum.py
@@ -0,0 +1,156 @@
+"""Tests of kept turns and accounts over several archives."""
+
+import asyncio
+
+import pytest
+
+from balsamdale import archive_messages as messages
+from balsamdale import errors
+from tests import archives
+from tests import builders_routed as builders
+from tests import virtual
+
+
+def opening(number, tokens=0, parent='', wants_chain=False):
+    return messages.OpenTurn(
+        'p', f't{number}', tokens, parent, wants_chain, 1e9
+    )
+
+
+def test_kept_turn_is_found_with_any_archive_lost():
+    async def scenario():
+        world = archives.World()
+        await world.quorum.keep(builders.turn(1), 1.0)
+        await world.quorum.keep(builders.turn(2, 1), 1.0)
+        for name in world.names:
+            world.cut(name)
+            chain = await world.quorum.read_chain('t2', 1.0)
+            assert [turn.turn_id for turn in chain] == ['t1', 't2']
+            world.cut(name, False)
+
+    virtual.run(scenario())
+
+
+def test_turn_is_not_kept_by_fewer_than_a_majority():
+    async def scenario():
+        world = archives.World()
+        world.cut('d0')
+        world.cut('d1')
+        with pytest.raises(errors.NoQuorum):
+            await world.quorum.keep(builders.turn(1), 1.0)
+
+    virtual.run(scenario())
+
+
+def test_write_waits_for_an_archive_that_returns():
+    async def scenario():
+        world = archives.World()
+        world.cut('d0')
+        world.cut('d1')
+        loop = asyncio.get_running_loop()
+        loop.call_later(1.0, world.cut, 'd1', False)
+        await world.quorum.keep(builders.turn(1), 5.0)
+        assert world.holders('t1') >= {'d1', 'd2'}
+
+    virtual.run(scenario())
+
+
+def test_absent_turn_is_certain_only_where_enough_archives_are_whole():
+    async def scenario():
+        world = archives.World()
+        with pytest.raises(errors.NoSuchTurn):
+            await world.quorum.read_chain('t9', 1.0)
+        world.cut('d2')
+        with pytest.raises(errors.NoSuchTurn):
+            await world.quorum.read_chain('t9', 1.0)
+        world.cut('d1')
+        with pytest.raises(errors.NoQuorum):
+            await world.quorum.read_chain('t9', 1.0)
+
+    virtual.run(scenario())
+
+
+def test_wiped_archive_does_not_deny_a_turn():
+    async def scenario():
+        world = archives.World()
+        world.cut('d2')
+        await world.quorum.keep(builders.turn(1), 1.0)
+        world.cut('d2', False)
+        world.cut('d0')
+        world.add('d1', False)
+        with pytest.raises(errors.NoQuorum):
+            await world.quorum.read_chain('t1', 1.0)
+
+    virtual.run(scenario())
+
+
+def test_two_archives_left_must_both_deny():
+    async def scenario():
+        world = archives.World(count=2)
+        world.cut('d1')
+        with pytest.raises(errors.NoQuorum):
+            await world.quorum.read_chain('t9', 1.0)
+
+    virtual.run(scenario())
+
+
+def test_reservations_are_seen_by_each_other():
+    async def scenario():
+        world = archives.World()
+        first = await world.quorum.open(opening(1, 100), 1000, 1.0)
+        second = await world.quorum.open(opening(2, 50), 1000, 1.0)
+        assert (first.spent_tokens, second.spent_tokens) == (0, 100)
+        world.quorum.settle(builders.entry(1, 30, True))
+        await asyncio.sleep(0.5)
+        third = await world.quorum.open(opening(3, 50), 1000, 1.0)
+        assert third.spent_tokens == 80
+
+    virtual.run(scenario())
+
+
+def test_reservations_meet_whichever_archive_is_cut():
+    async def scenario():
+        world = archives.World()
+        spent = []
+        for number, name in enumerate(world.names, 1):
+            world.cut(name)
+            opened = await world.quorum.open(opening(number, 100), 1000, 1.0)
+            spent.append(opened.spent_tokens)
+            world.cut(name, False)
+        assert spent == [0, 100, 200]
+
+    virtual.run(scenario())
+
+
+def test_wiped_archive_does_not_admit():
+    async def scenario():
+        world = archives.World()
+        world.add('d0', False)
+        world.cut('d1')
+        with pytest.raises(errors.NoQuorum):
+            await world.quorum.open(opening(1, 100), 1000, 1.0)
+
+    virtual.run(scenario())
+
+
+def test_chain_comes_with_the_reservation():
+    async def scenario():
+        world = archives.World()
+        await world.quorum.keep(builders.turn(1), 1.0)
+        message = opening(2, 10, 't1', True)
+        opened = await world.quorum.open(message, 1000, 1.0)
+        assert opened.chain == (builders.turn(1),)
+        world.cut('d0')
+        opened = await world.quorum.open(message, 1000, 1.0)
+        assert opened.chain == (builders.turn(1),)
+
+    virtual.run(scenario())
+
+
+def test_unknown_parent_is_told():
+    async def scenario():
+        world = archives.World()
+        with pytest.raises(errors.NoSuchTurn):
+            await world.quorum.open(opening(2, 10, 't9', True), 1000, 1.0)
+
+    virtual.run(scenario())
