Keep the set of folders by name, and stop registering while leaving

Cause: (1) after a planned stop the registration was written again, since the lease's end looked like a lapse; callers were sent to a stopping instance and its stop took the whole grace. (2) While one archive was retired and another wiped, 59 turns of the incident were refused without quorum for two seconds; the archives in touch were counted, so an absent one shrank the majority, which could also have overrun a budget.

Ruled out: load (entries used under a tenth of a core); the final fault (these refusals lie at 17 to 19 s, the fault at 35 s).

Change: an instance that leaves tells the others and stays unregistered. The set of folders is a set of keys without leases: a folder joins once it lacks nothing, leaves once its records lie elsewhere, and is given up only where enough others are present. Reads need all of the set but the losses, writes losses + 1.

The test that two archives must both deny counted archives in touch; with the set, one of two knows every record, and the test that replaces it checks both sides of that.

--- a/balsamdale/archive.py
+++ b/balsamdale/archive.py
@@ -79,8 +79,8 @@
         """
 
     @abc.abstractmethod
-    def set_whole(self) -> None:
-        """Record that the folder has caught up with the others."""
+    def set_whole(self, is_whole: bool = True) -> None:
+        """Record whether the folder has caught up with the others."""
 
     @abc.abstractmethod
     def expire(self, now_s: float) -> None:
@@ -179,8 +179,8 @@
                 break
         return tuple(chosen), (0, start + len(chosen))
 
-    def set_whole(self) -> None:
-        self.is_whole = True
+    def set_whole(self, is_whole: bool = True) -> None:
+        self.is_whole = is_whole
 
     def expire(self, now_s: float) -> None:
         for turn in list(self._turns.values()):
@@ -284,8 +284,8 @@
                 return records, (segment.number, end)
         return (), cursor
 
-    def set_whole(self) -> None:
-        self.is_whole = True
+    def set_whole(self, is_whole: bool = True) -> None:
+        self.is_whole = is_whole
         self._write_identity()
 
     def expire(self, now_s: float) -> None:
--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -31,7 +31,7 @@
     Args:
         held: the archive.
         links: connections to other instances.
-        others: returns the names of the other instances with an archive.
+        members: returns the names of the instances in the set of folders.
         losses: folders that may be lost at once.
         clock: returns the present time in seconds since the Unix epoch.
     """
@@ -40,13 +40,14 @@
         self,
         held: archive.Archive,
         links: link.Links,
-        others: collections_abc.Callable[[], tuple[str, ...]],
+        members: collections_abc.Callable[[], frozenset[str]],
         losses: int,
         clock: collections_abc.Callable[[], float],
     ):
         self.archive = held
         self._links = links
-        self._others = others
+        self._members = members
+        self._is_closed = False
         self._losses = losses
         self._clock = clock
         self._background = background.Background('archive')
@@ -73,17 +74,18 @@
     async def catch_up(self) -> None:
         """Pull what this folder lacks, until it can be relied on.
 
-        Of the others, all but as many as may be lost have to answer: a
-        record that this folder once acknowledged lies on one of those.
+        Of the set, all but as many as may be lost have to answer: a record
+        that this folder once acknowledged lies on one of those.
         """
         done: set[str] = set()
         while not self.archive.is_whole:
-            others = set(self._others())
+            members = self._members()
+            others = members - {self._links.instance_id}
             for name in sorted(others - done):
                 if await self._pull_all(name):
                     done.add(name)
-            needed = max(self._losses + 1, len(others) - self._losses)
-            if done and len(done & others) >= min(needed, len(others)):
+            needed = max(1, len(members) - self._losses)
+            if len(done & others) >= needed:
                 await self._synced()
                 self.archive.set_whole()
                 logging.info(
@@ -92,13 +94,30 @@
                 return
             await asyncio.sleep(RETRY_S)
 
+    async def repair(self, absent: frozenset[str]) -> bool:
+        """Pull from all others, as some members are gone for good.
+
+        Args:
+            absent: the members that are gone.
+
+        Returns:
+            Whether all others could be read.
+        """
+        others = self._members() - absent - {self._links.instance_id}
+        for name in sorted(others):
+            if not await self._pull_all(name):
+                return False
+        await self._synced()
+        return True
+
     async def empty(self) -> bool:
-        """Push every record to the other archives.
+        """Take no more records and push all to the other archives.
 
         Returns:
             Whether each record is acknowledged by enough of them.
         """
-        names = self._others()
+        self._is_closed = True
+        names = self._members() - {self._links.instance_id}
         needed = min(self._losses + 1, len(names))
         if not needed:
             return False
@@ -182,9 +201,14 @@
         finally:
             self._syncing = None
 
+    def _check_open(self):
+        if self._is_closed:
+            raise errors.ArchiveClosed('the folder is being emptied')
+
     async def _on_open(self, _sender, message):
         self.opened += 1
         if message.tokens:
+            self._check_open()
             self.archive.put(
                 history.Charge(
                     message.program_id,
@@ -210,12 +234,14 @@
         )
 
     async def _on_keep(self, _sender, message):
+        self._check_open()
         self.kept += 1
         self.archive.put(message.turn)
         await asyncio.shield(self._synced())
         yield messages.Kept(self.archive.folder_id)
 
     async def _on_settle(self, _sender, message):
+        self._check_open()
         self.archive.put(message.entry)
         await asyncio.shield(self._synced())
         yield messages.Kept(self.archive.folder_id)
--- a/balsamdale/errors.py
+++ b/balsamdale/errors.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     'BalsamdaleError',
+    'ArchiveClosed',
     'CallerGone',
     'CheckFailed',
     'CorruptRecord',
@@ -159,6 +160,10 @@
     """A frame carries a version or type that is not known here."""
 
 
+class ArchiveClosed(BalsamdaleError):
+    """The archive is being emptied and takes no further records."""
+
+
 class NoQuorum(BalsamdaleError):
     """Too few archives answered.
 
--- a/balsamdale/front.py
+++ b/balsamdale/front.py
@@ -17,6 +17,7 @@
 BACKLOG = 512
 UNACKED_MS = 5000
 IDLE_S = 75.0
+SHUTDOWN_S = 0.3
 
 
 class Front:
@@ -49,7 +50,7 @@
             max_field_size=self._limits.header_bytes,
             auto_decompress=False,
         )
-        self._runner = web.ServerRunner(server)
+        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
         await self._runner.setup()
         site = web.SockSite(
             self._runner, listening_socket(address), backlog=BACKLOG
--- a/balsamdale/keyvalue.py
+++ b/balsamdale/keyvalue.py
@@ -135,6 +135,10 @@
             LeaseEnded: the lease has ended.
         """
 
+    @abc.abstractmethod
+    async def delete(self, key: str) -> None:
+        """Remove a key if it exists."""
+
 
 class MemoryKeyValue(LeasedKeyValue):
     """A key-value service inside the process."""
@@ -208,6 +212,10 @@
         self._write(key, value)
         return self.revision
 
+    async def delete(self, key: str) -> None:
+        await self._check()
+        self.remove(key)
+
     def lapse(self, lease: int) -> None:
         """End a lease as if it had not been renewed."""
         for key in self._leases.pop(lease, ()):
--- a/balsamdale/members.py
+++ b/balsamdale/members.py
@@ -22,6 +22,8 @@
 TTL_S = 3.0
 RENEW_S = 0.9
 RETRY_S = 0.2
+REVOKE_TRIES = 3
+ANNOUNCE_S = 0.8
 PROBE_TIMEOUT_S = 0.4
 PROBE_TRIES = 2
 PROBE_INTERVAL_S = 1.0
@@ -58,6 +60,19 @@
     is_leaving: bool
 
 
+@codec.message
+class Announce:
+    """Tells a peer of an instance while the key-value service cannot."""
+
+    member: Member
+    is_leaving: bool
+
+
+@codec.message
+class Heard:
+    """The announcement arrived."""
+
+
 class Roster:
     """The instances that can be worked with.
 
@@ -71,17 +86,18 @@
         self._own_id = own_id
         self._members: dict[str, Member] = {}
         self._registered: set[str] = set()
+        self._probed: set[str] = set()
         self._background = background.Background('members')
         self.is_leaving = False
-        links.serve(AskAlive, self._on_ping)
+        links.serve(AskAlive, self._on_ask_alive)
+        links.serve(Announce, self._on_announce)
 
     def changed(self, key: str, value: bytes | None) -> None:
         """Account for a change of a registration in the mirror."""
         instance_id = key.removeprefix(PREFIX)
         if value is None:
             self._registered.discard(instance_id)
-            if instance_id in self._members:
-                self._background.spawn(self._probe(instance_id))
+            self._start_probe(instance_id)
             return
         try:
             member = codec.decode(value)
@@ -89,15 +105,7 @@
             decisions.record('member_unreadable', key=key, reason=str(error))
             return
         self._registered.add(instance_id)
-        if self._members.get(instance_id) != member:
-            decisions.record(
-                'member_known',
-                member=instance_id,
-                address=member.link_address,
-                folder=member.folder_id,
-            )
-        self._members[instance_id] = member
-        self._links.set_peer(instance_id, member.link_address)
+        self._put(member)
 
     def entries(self) -> tuple[Member, ...]:
         """Return the instances that serve callers."""
@@ -111,8 +119,48 @@
         """Return the names of all other instances."""
         return [name for name in self._members if name != self._own_id]
 
+    async def announce(self, member: Member, is_leaving: bool) -> None:
+        """Tell all others of an instance directly."""
+        message = Announce(member, is_leaving)
+        await asyncio.gather(
+            *(self._tell(name, message) for name in self.peers())
+        )
+
+    async def _tell(self, name, message):
+        try:
+            await self._links.request(name, message, PROBE_TIMEOUT_S)
+        except errors.LinkError as error:
+            decisions.record('announcement_lost', peer=name, reason=str(error))
+
+    def _put(self, member):
+        instance_id = member.instance_id
+        if self._members.get(instance_id) != member:
+            decisions.record(
+                'member_known',
+                member=instance_id,
+                address=member.link_address,
+                folder=member.folder_id,
+            )
+        self._members[instance_id] = member
+        self._links.set_peer(instance_id, member.link_address)
+
+    def _drop(self, instance_id, reason):
+        if self._members.pop(instance_id, None) is not None:
+            decisions.record('member_gone', member=instance_id, reason=reason)
+
+    def _start_probe(self, instance_id):
+        if instance_id in self._members and instance_id not in self._probed:
+            self._probed.add(instance_id)
+            self._background.spawn(self._probe(instance_id))
+
     async def _probe(self, instance_id):
-        """Drop an instance that is no longer registered nor answers."""
+        try:
+            await self._probe_until_known(instance_id)
+        finally:
+            self._probed.discard(instance_id)
+
+    async def _probe_until_known(self, instance_id):
+        """Drop an instance that is not registered and does not answer."""
         misses = 0
         while instance_id not in self._registered:
             try:
@@ -123,15 +171,22 @@
             except errors.LinkError:
                 misses += 1
             if misses >= PROBE_TRIES:
-                self._members.pop(instance_id, None)
-                decisions.record('member_gone', member=instance_id)
+                self._drop(instance_id, 'no registration and no answer')
                 return
             if not misses:
                 await asyncio.sleep(PROBE_INTERVAL_S)
 
-    async def _on_ping(self, _sender, _message):
+    async def _on_ask_alive(self, _sender, _message):
         yield Alive(self.is_leaving)
 
+    async def _on_announce(self, _sender, message):
+        if message.is_leaving:
+            self._drop(message.member.instance_id, 'leaving')
+        else:
+            self._put(message.member)
+            self._start_probe(message.member.instance_id)
+        yield Heard()
+
 
 class Presence:
     """Keeps this instance registered.
@@ -140,6 +195,7 @@
         store: the key-value service.
         member: returns what this instance says of itself.
         mirror_value: returns the registered value as the mirror has it.
+        announce: tells the others of this instance directly.
     """
 
     def __init__(
@@ -147,16 +203,21 @@
         store: keyvalue.LeasedKeyValue,
         member: collections_abc.Callable[[], Member],
         mirror_value: collections_abc.Callable[[str], bytes | None],
+        announce: collections_abc.Callable[
+            [Member, bool], collections_abc.Awaitable[None]
+        ],
     ):
+        self._announce = announce
         self._store = store
         self._member = member
         self._mirror_value = mirror_value
         self._lease = 0
         self._written = b''
+        self._is_leaving = False
 
     async def run(self) -> None:
-        """Register, and stay registered, for ever."""
-        while True:
+        """Register, and stay registered until leaving."""
+        while not self._is_leaving:
             try:
                 await self._step()
                 await asyncio.sleep(RENEW_S)
@@ -165,13 +226,23 @@
                 self._lease = 0
             except errors.KeyValueError:
                 # The follower of the mirror logs outages.
-                await asyncio.sleep(RETRY_S)
+                await self._announce(self._member(), False)
+                await asyncio.sleep(ANNOUNCE_S)
 
     async def leave(self) -> None:
-        """Remove the registration."""
-        if self._lease:
+        """Remove the registration, and try for a while if that fails.
+
+        A lease that cannot be ended lapses by itself.
+        """
+        self._is_leaving = True
+        await self._announce(self._member(), True)
+        for _ in range(REVOKE_TRIES):
+            if not self._lease:
+                return
             with contextlib.suppress(errors.KeyValueError):
                 await self._store.revoke(self._lease)
+                return
+            await asyncio.sleep(RETRY_S)
 
     async def _step(self):
         if not self._lease:
@@ -184,5 +255,7 @@
         key = f'{PREFIX}{member.instance_id}'
         is_lost = self._written and self._mirror_value(key) is None
         if value != self._written or is_lost:
+            if self._is_leaving:
+                return
             await self._store.put(key, value, self._lease)
             self._written = value
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -15,10 +15,12 @@
 from balsamdale import archive_service
 from balsamdale import background
 from balsamdale import balance
+from balsamdale import codec
 from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import errors
 from balsamdale import exchange
+from balsamdale import folders
 from balsamdale import front
 from balsamdale import keyvalue
 from balsamdale import members
@@ -40,6 +42,7 @@
 POLL_S = 0.05
 ARCHIVE_LINGER_S = 0.5
 EMPTYING_RETRY_S = 0.3
+MEMBERSHIP_INTERVAL_S = 0.25
 
 
 class Node:
@@ -57,13 +60,18 @@
         self.links = zeromq.ZeroMQLinks(given.instance_id, given.link_address)
         self.mirror = mirror.Mirror()
         self.roster = members.Roster(self.links, given.instance_id)
+        self.folder_set = folders.FolderSet()
         self.mirror.listen(members.PREFIX, self.roster.changed)
+        self.mirror.listen(folders.PREFIX, self.folder_set.changed)
         generator = random.Random(given.instance_id)
         self.follower = mirror.Follower(
             self.mirror, self.store, self.links, self._peers, generator
         )
         self.presence = members.Presence(
-            self.store, self.member, self.mirror.get
+            self.store,
+            self.member,
+            self.mirror.get,
+            self.roster.announce,
         )
         self._seeds = self._add_seeds()
         self._background = background.Background('node')
@@ -110,7 +118,10 @@
         self.table: routes.RouteTable | None = None
         self.directory = discovery.Directory()
         self.quorum = quorum.Quorum(
-            self.links, self._folders, given.losses, given.failure_domain
+            self.links,
+            self.folder_set.all,
+            given.losses,
+            given.failure_domain,
         )
         self.exchange = exchange.Exchange(adapted.form)
         self.serving = serving.Serving(
@@ -166,17 +177,12 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers' requests can be served."""
-        return self.table is not None and not self.roster.is_leaving
+        is_known = self.table is not None and bool(self.folder_set.names())
+        return is_known and not self.roster.is_leaving
 
     def _addresses(self, failure_domain):
         return registry.addresses(self.roster.entries(), failure_domain)
 
-    def _folders(self):
-        return tuple(
-            quorum.Folder(member.instance_id, member.failure_domain)
-            for member in self.roster.archives()
-        )
-
     def _table_changed(self, key, value):
         if key != self.adapter.table_key or value is None:
             return
@@ -231,10 +237,11 @@
         self.service = archive_service.ArchiveService(
             self.archive,
             self.links,
-            self._others,
+            self.folder_set.names,
             given.losses,
             time.time,
         )
+        self._absences = folders.Absences(given.losses)
         self._emptying: asyncio.Task | None = None
         key = adapted.emptying_key(given.instance_id)
         self.mirror.listen(key, functools.partial(self._asked_empty, key))
@@ -249,7 +256,7 @@
 
     async def start(self) -> None:
         self._background.spawn(self.service.run())
-        self._background.spawn(self.service.catch_up())
+        self._background.spawn(self._run_membership())
         await super().start()
 
     async def leave(self) -> None:
@@ -260,12 +267,38 @@
         await super().close()
         await self.service.close()
 
-    def _others(self):
-        return tuple(
-            member.instance_id
-            for member in self.roster.archives()
-            if member.instance_id != self.settings.instance_id
+    async def _run_membership(self):
+        """Join the set of folders, and keep it to those that are there."""
+        while not self.mirror.through:
+            await asyncio.sleep(MEMBERSHIP_INTERVAL_S)
+        is_first = self.settings.is_first_start
+        while self._emptying is None:
+            try:
+                await self._step_membership(is_first)
+                is_first = False
+            except errors.KeyValueError as error:
+                logging.info('node: the folder set cannot change: %s', error)
+            await asyncio.sleep(MEMBERSHIP_INTERVAL_S)
+
+    async def _step_membership(self, is_first):
+        name = self.settings.instance_id
+        names = self.folder_set.names()
+        if name not in names:
+            if names and not is_first:
+                # Others went on without this folder, so it lacks records.
+                self.archive.set_whole(False)
+            await self.service.catch_up()
+            folder = folders.Folder(name, self.settings.failure_domain)
+            await self.store.put(folders.key_of(name), codec.encode(folder))
+            return
+        await self.service.catch_up()
+        present = frozenset(m.instance_id for m in self.roster.archives())
+        gone = self._absences.given_up(
+            names, present | {name}, time.monotonic()
         )
+        if gone and await self.service.repair(frozenset(gone)):
+            for other in gone:
+                await self.store.delete(folders.key_of(other))
 
     def _asked_empty(self, wanted_key, key, value):
         is_running = self._emptying is not None and not self._emptying.done()
@@ -277,10 +310,13 @@
         name = self.settings.instance_id
         decisions.record('emptying_started')
         await self._answer_empty(False)
-        await self.presence.leave()
-        self.roster.is_leaving = True
         while not await self.service.empty():
             await asyncio.sleep(EMPTYING_RETRY_S)
+        await self._until_written(
+            functools.partial(self.store.delete, folders.key_of(name))
+        )
+        self.roster.is_leaving = True
+        await self.presence.leave()
         await self._answer_empty(True)
         decisions.record('emptying_done', instance=name)
 
@@ -288,12 +324,17 @@
         key, value = self.adapter.emptying_answer(
             self.settings.instance_id, is_done
         )
+        await self._until_written(
+            functools.partial(self.store.put, key, value)
+        )
+
+    async def _until_written(self, write):
         while True:
             try:
-                await self.store.put(key, value)
+                await write()
                 return
             except errors.KeyValueError as error:
-                logging.info('node: cannot answer the emptying: %s', error)
+                logging.info('node: cannot write: %s', error)
                 await asyncio.sleep(EMPTYING_RETRY_S)
 
 
--- a/balsamdale/platform/store.py
+++ b/balsamdale/platform/store.py
@@ -90,6 +90,10 @@
     async def put(self, key: str, value: bytes, lease: int = 0) -> int:
         return await self._write(key, value, lease, None)
 
+    async def delete(self, key: str) -> None:
+        body = {'if_rev': [], 'puts': [], 'delete': [key]}
+        await self._call('POST', '/kv-txn', body=body, is_write=True)
+
     async def changes(
         self, prefix: str, revision: int, wait_s: float
     ) -> tuple[tuple[keyvalue.Change, ...], int]:
--- a/balsamdale/quorum.py
+++ b/balsamdale/quorum.py
@@ -14,11 +14,12 @@
 from balsamdale import archive_messages as messages
 from balsamdale import background
 from balsamdale import errors
+from balsamdale import folders
 from balsamdale import history
 from balsamdale import link
 from balsamdale import placement
 
-__all__ = ['Folder', 'Opened', 'Quorum']
+__all__ = ['Opened', 'Quorum']
 
 TRY_TIMEOUT_S = 0.4
 RETRY_S = 0.05
@@ -27,19 +28,6 @@
 SETTLE_TIMEOUT_S = 3.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Folder:
-    """An archive as others know it.
-
-    Attributes:
-        instance_id: instance that serves it.
-        failure_domain: where it stands.
-    """
-
-    instance_id: str
-    failure_domain: str
-
-
 @dataclasses.dataclass(frozen=True)
 class Opened:
     """What is known when a turn begins.
@@ -58,7 +46,7 @@
 
     Args:
         links: connections to other instances.
-        folders: returns the archives that are known.
+        members: returns the set of folders.
         losses: folders that may be lost at once.
         failure_domain: where this instance stands; it reads from there.
     """
@@ -66,12 +54,12 @@
     def __init__(
         self,
         links: link.Links,
-        folders: collections_abc.Callable[[], tuple[Folder, ...]],
+        members: collections_abc.Callable[[], tuple[folders.Folder, ...]],
         losses: int,
         failure_domain: str,
     ):
         self._links = links
-        self._folders = folders
+        self._members = members
         self._losses = losses
         self._failure_domain = failure_domain
         self._background = background.Background('quorum')
@@ -81,13 +69,13 @@
         """Acknowledgements that make a record durable."""
         return self._losses + 1
 
-    def replicas(self, program_id: str) -> list[Folder]:
+    def replicas(self, program_id: str) -> list[folders.Folder]:
         """Return the folders of a program, those in this domain first."""
-        folders = {f.instance_id: f for f in self._folders()}
-        chosen = placement.rank(program_id, list(folders))
+        members = {f.instance_id: f for f in self._members()}
+        chosen = placement.rank(program_id, list(members))
         chosen = chosen[: 2 * self._losses + 1]
         return sorted(
-            (folders[name] for name in chosen),
+            (members[name] for name in chosen),
             key=lambda f: f.failure_domain != self._failure_domain,
         )
 
@@ -120,10 +108,10 @@
             for folder in replicas
         }
         round_ = _Round(self._links, asked, timeout_s)
-        await round_.until(functools.partial(_is_whole, self.needed))
-        whole = _whole(round_)
-        if message.tokens and len(whole) < self.needed:
-            raise errors.NoQuorum(len(whole), self.needed)
+        sure = self._sure_count(len(replicas))
+        await round_.until(functools.partial(_is_open, self.needed, sure))
+        if message.tokens and not _is_open(self.needed, sure, round_.replies):
+            raise errors.NoQuorum(len(_whole(round_)), sure)
         if budget_tokens and self._spent(round_, message) > (
             NEAR_LIMIT * budget_tokens
         ):
@@ -150,7 +138,7 @@
             NoQuorum: none has it, but not enough were sure.
             NoSuchTurn: none has it, and that is certain.
         """
-        names = [folder.instance_id for folder in self._folders()]
+        names = [folder.instance_id for folder in self._members()]
         message = messages.ReadChain(turn_id)
         round_ = _Round(self._links, dict.fromkeys(names, message), timeout_s)
         await round_.until(_has_chain)
@@ -190,11 +178,13 @@
         if len(round_.replies) < self.needed:
             raise errors.NoQuorum(len(round_.replies), self.needed)
 
-    def _sure_count(self, known):
-        """Return how many folders must lack a turn for it not to exist."""
-        if known < 2 * self._losses + 1:
-            return max(known, self.needed)
-        return known - self._losses
+    def _sure_count(self, count):
+        """Return how many whole folders of a set know every record.
+
+        Each record has as many copies as acknowledge a write, so it is on
+        one of any this many.
+        """
+        return max(1, count - self._losses)
 
 
 class _Round:
@@ -253,8 +243,9 @@
     return name in replies
 
 
-def _is_whole(needed, replies):
-    return sum(reply.is_whole for reply in replies.values()) >= needed
+def _is_open(needed, sure, replies):
+    whole = sum(reply.is_whole for reply in replies.values())
+    return len(replies) >= needed and whole >= sure
 
 
 def _is_count(needed, replies):
--- a/tests/archives.py
+++ b/tests/archives.py
@@ -2,6 +2,7 @@
 
 from balsamdale import archive
 from balsamdale import archive_service
+from balsamdale import folders
 from balsamdale import link
 from balsamdale import quorum
 
@@ -25,12 +26,12 @@
             self.add(name, True)
         self.links = link.MemoryLinks('entry', self.network)
         self.quorum = quorum.Quorum(
-            self.links, self.folders, losses, 'domain-d0'
+            self.links, self.members, losses, 'domain-d0'
         )
 
-    def folders(self):
+    def members(self):
         return tuple(
-            quorum.Folder(name, f'domain-{name}') for name in self.names
+            folders.Folder(name, f'domain-{name}') for name in self.names
         )
 
     def add(self, name, is_whole):
@@ -39,7 +40,7 @@
         self.services[name] = archive_service.ArchiveService(
             held,
             link.MemoryLinks(name, self.network),
-            lambda: tuple(n for n in self.names if n != name),
+            lambda: frozenset(self.names),
             self.losses,
             lambda: CLOCK_S,
         )
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -32,7 +32,9 @@
             copy, self.store, links, list, random.Random(name)
         )
         member = members.Member(name, 'a', f'{name}:1', f'{name}:2')
-        presence = members.Presence(self.store, lambda: member, copy.get)
+        presence = members.Presence(
+            self.store, lambda: member, copy.get, roster.announce
+        )
         self.rosters[name] = roster
         self.presences[name] = presence
         self.tasks[name] = [
@@ -107,9 +109,40 @@
         site = Site('x', 'y')
         await asyncio.sleep(0.5)
         site.rosters['y'].is_leaving = True
-        site.tasks['y'][1].cancel()
         await site.presences['y'].leave()
-        await asyncio.sleep(1.0)
+        for _ in range(10):
+            await asyncio.sleep(0.5)
+            assert site.known('x') == {'x'}
+
+    virtual.run(scenario())
+
+
+def test_leaving_instance_is_dropped_though_its_lease_outlives_it():
+    async def scenario():
+        site = Site('x', 'y')
+        await asyncio.sleep(0.5)
+        site.rosters['y'].is_leaving = True
+        site.store.available = False
+        await site.presences['y'].leave()
+        site.store.available = True
+        await asyncio.sleep(5.0)
+        assert site.known('x') == {'x'}
+
+    virtual.run(scenario())
+
+
+def test_announced_instance_that_dies_is_dropped():
+    async def scenario():
+        site = Site('x', 'y')
+        await asyncio.sleep(0.5)
+        for task in site.tasks['y']:
+            task.cancel()
+        site.store.lapse(2)
+        member = members.Member('y', 'a', 'y:1', 'y:2')
+        await site.rosters['y'].announce(member, False)
+        assert site.known('x') == {'x', 'y'}
+        site.kill('y')
+        await asyncio.sleep(8.0)
         assert site.known('x') == {'x'}
 
     virtual.run(scenario())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from balsamdale import folders
 from tests import routed_site
 
 
@@ -57,13 +58,28 @@
         assert (await site.turn('t2', 't1', entry='entry-b'))[0] == 200
         await site.start('archive-d', 'archive')
         new = site.nodes['archive-d']
-        await site.wait(lambda: new.archive.is_whole)
+        names = {'archive-b', 'archive-c', 'archive-d'}
+        entry = site.nodes['entry-a']
+        await site.wait(lambda: entry.folder_set.names() == names)
         assert new.archive.find('t1') is not None
         assert new.archive.find('t2') is not None
 
     routed_site.run(tmp_path, scenario)
 
 
+def test_archive_that_is_away_stays_in_the_set(tmp_path):
+    async def scenario(site):
+        await site.stop('archive-a')
+        await asyncio.sleep(folders.ABSENT_S + 3.0)
+        assert len(site.nodes['entry-a'].folder_set.names()) == 3
+        await site.turn('t1')
+        await site.start('archive-a', 'archive')
+        again = site.nodes['archive-a']
+        assert again.archive.is_whole
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_archive_is_emptied_on_request(tmp_path):
     async def scenario(site):
         await site.turn('t1')
@@ -80,6 +96,10 @@
             for name in ('archive-b', 'archive-c')
         ]
         assert None not in held
+        entry = site.nodes['entry-a']
+        names = {'archive-b', 'archive-c'}
+        await site.wait(lambda: entry.folder_set.names() == names)
+        assert (await site.turn('t2', 't1'))[0] == 200
 
     routed_site.run(tmp_path, scenario)
 
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -84,10 +84,41 @@
     virtual.run(scenario())
 
 
-def test_two_archives_left_must_both_deny():
+def test_one_of_two_archives_knows_every_record():
     async def scenario():
         world = archives.World(count=2)
+        await world.quorum.keep(builders.turn(1), 1.0)
+        world.cut('d1')
+        assert await world.quorum.read_chain('t1', 1.0)
+        with pytest.raises(errors.NoSuchTurn):
+            await world.quorum.read_chain('t9', 1.0)
+        with pytest.raises(errors.NoQuorum):
+            await world.quorum.keep(builders.turn(2), 1.0)
+
+    virtual.run(scenario())
+
+
+def test_wiped_one_of_two_archives_does_not_stop_reservations():
+    async def scenario():
+        world = archives.World(count=2)
+        await world.quorum.open(opening(1, 100), 1000, 1.0)
+        world.add('d0', False)
+        opened = await world.quorum.open(opening(2, 100), 1000, 1.0)
+        assert opened.spent_tokens == 100
         world.cut('d1')
+        with pytest.raises(errors.NoQuorum):
+            await world.quorum.open(opening(3, 100), 1000, 1.0)
+
+    virtual.run(scenario())
+
+
+def test_absent_member_of_three_still_counts():
+    async def scenario():
+        world = archives.World()
+        world.cut('d2')
+        world.add('d1', False)
+        with pytest.raises(errors.NoQuorum):
+            await world.quorum.open(opening(1, 100), 1000, 1.0)
         with pytest.raises(errors.NoQuorum):
             await world.quorum.read_chain('t9', 1.0)
 
