Reach archives around cut links; join chains from several folders

A folder returns the end of a chain and the turn before it; the quorum joins parts. Each turn keeps its chain as long as itself. A write that has enough copies is tried twice more for the missing one.

--- a/balsamdale/archive.py
+++ b/balsamdale/archive.py
@@ -98,19 +98,21 @@
         """Sync and release the folder."""
         self.sync()
 
-    def chain(self, turn_id: str) -> tuple[history.Turn, ...] | None:
-        """Return a turn with all before it, oldest first.
+    def chain(self, turn_id: str) -> tuple[tuple[history.Turn, ...], str]:
+        """Return the end of a turn's chain as far as it is here.
 
-        None is returned where a turn of the chain is missing here.
+        Returns:
+            The turns, oldest first, and the id of the turn before them
+            where it is missing; an empty id where the chain is whole.
         """
         turns: list[history.Turn] = []
         while turn_id and len(turns) < CHAIN_LIMIT:
             turn = self.find(turn_id)
             if turn is None:
-                return None
+                break
             turns.append(turn)
             turn_id = turn.parent_id
-        return tuple(reversed(turns))
+        return tuple(reversed(turns)), turn_id
 
     def account(self, program_id: str) -> tuple[history.Charge, ...]:
         """Return what is known of a program's tokens."""
@@ -183,11 +185,14 @@
         self.is_whole = is_whole
 
     def expire(self, now_s: float) -> None:
-        for turn in list(self._turns.values()):
-            if turn.expires_at_s < now_s:
-                del self._turns[turn.turn_id]
+        live = (t for t in self._turns.values() if t.expires_at_s >= now_s)
+        kept = {turn.turn_id for end in live for turn in self._chain_of(end)}
+        self._turns = {n: t for n, t in self._turns.items() if n in kept}
         self._expire_accounts(now_s)
 
+    def _chain_of(self, turn):
+        return self.chain(turn.turn_id)[0]
+
 
 @dataclasses.dataclass
 class _Segment:
@@ -208,6 +213,7 @@
     segment: int
     offset: int
     size_bytes: int
+    parent_id: str
 
 
 class DiskArchive(Archive):
@@ -348,12 +354,21 @@
         offset = segment.size_bytes + HEADER.size
         if isinstance(record, history.Turn):
             self._places[record.turn_id] = _Place(
-                segment.number, offset, size_bytes
+                segment.number, offset, size_bytes, record.parent_id
             )
             segment.turn_ids.append(record.turn_id)
+            self._extend(record.parent_id, record.expires_at_s)
         segment.expires_at_s = max(segment.expires_at_s, record.expires_at_s)
         segment.size_bytes = offset + size_bytes
 
+    def _extend(self, turn_id, expires_at_s):
+        """Keep a chain for as long as its last turn."""
+        place = self._places.get(turn_id)
+        while place is not None:
+            segment = self._segments[place.segment]
+            segment.expires_at_s = max(segment.expires_at_s, expires_at_s)
+            place = self._places.get(place.parent_id)
+
     def _drop(self, segment):
         for turn_id in segment.turn_ids:
             place = self._places.get(turn_id)
@@ -390,6 +405,7 @@
         """Rebuild index and accounts from the segments."""
         for path in sorted(self._folder.glob('*.log')):
             segment = _Segment(int(path.stem), path, started_at_s=now_s)
+            self._segments[segment.number] = segment
             data = path.read_bytes()
             for record, end in _records(data):
                 if isinstance(record, history.Turn):
@@ -404,7 +420,6 @@
                     path.name,
                     len(data) - segment.size_bytes,
                 )
-            self._segments[segment.number] = segment
 
 
 def _records(
--- a/balsamdale/archive_messages.py
+++ b/balsamdale/archive_messages.py
@@ -44,13 +44,14 @@
     Attributes:
         is_whole: whether the archive lacks nothing that it acknowledged.
         entries: the program's account.
-        chain: the turns up to the parent; None where one is missing here
-            or none was wanted.
+        turns: the end of the chain as far as it is here, oldest first.
+        missing_id: the turn before those, where it is not here.
     """
 
     is_whole: bool
     entries: tuple[history.Charge, ...]
-    chain: tuple[history.Turn, ...] | None
+    turns: tuple[history.Turn, ...]
+    missing_id: str
 
 
 @codec.message
@@ -62,10 +63,17 @@
 
 @codec.message
 class ChainRead:
-    """The chain of a turn; None where a part is missing here."""
+    """The end of a turn's chain as far as it is in one archive.
+
+    Attributes:
+        is_whole: whether the archive lacks nothing that it acknowledged.
+        turns: the turns, oldest first.
+        missing_id: the turn before those, where it is not here.
+    """
 
     is_whole: bool
-    chain: tuple[history.Turn, ...] | None
+    turns: tuple[history.Turn, ...]
+    missing_id: str
 
 
 @codec.message
--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -16,6 +16,7 @@
 from balsamdale import errors
 from balsamdale import history
 from balsamdale import link
+from balsamdale import relay
 
 __all__ = ['ArchiveService']
 
@@ -30,7 +31,8 @@
 
     Args:
         held: the archive.
-        links: connections to other instances.
+        links: connections to other instances, to serve.
+        senders: requests to other instances.
         members: returns the names of the instances in the set of folders.
         losses: folders that may be lost at once.
         clock: returns the present time in seconds since the Unix epoch.
@@ -40,12 +42,13 @@
         self,
         held: archive.Archive,
         links: link.Links,
+        senders: relay.RelayLinks,
         members: collections_abc.Callable[[], frozenset[str]],
         losses: int,
         clock: collections_abc.Callable[[], float],
     ):
         self.archive = held
-        self._links = links
+        self._links = senders
         self._members = members
         self._is_closed = False
         self._losses = losses
@@ -219,18 +222,19 @@
                 )
             )
             await asyncio.shield(self._synced())
-        chain = None
+        turns, missing_id = (), message.parent_id
         if message.wants_chain:
-            chain = self.archive.chain(message.parent_id)
+            turns, missing_id = self.archive.chain(message.parent_id)
         yield messages.TurnOpened(
             self.archive.is_whole,
             self.archive.account(message.program_id),
-            chain,
+            turns,
+            missing_id,
         )
 
     async def _on_read(self, _sender, message):
         yield messages.ChainRead(
-            self.archive.is_whole, self.archive.chain(message.turn_id)
+            self.archive.is_whole, *self.archive.chain(message.turn_id)
         )
 
     async def _on_keep(self, _sender, message):
--- a/balsamdale/members.py
+++ b/balsamdale/members.py
@@ -16,7 +16,7 @@
 from balsamdale import keyvalue
 from balsamdale import link
 
-__all__ = ['Member', 'Presence', 'Roster']
+__all__ = ['AskAlive', 'Member', 'Presence', 'Roster']
 
 PREFIX = 'balsamdale/instances/'
 TTL_S = 3.0
@@ -115,6 +115,14 @@
         """Return the instances that serve an archive."""
         return tuple(m for m in self._members.values() if m.folder_id)
 
+    def entry_peers(self) -> list[str]:
+        """Return the other instances that serve callers, near ones first."""
+        own = self._members.get(self._own_id)
+        domain = own.failure_domain if own is not None else ''
+        others = [m for m in self.entries() if m.instance_id != self._own_id]
+        others.sort(key=lambda m: m.failure_domain != domain)
+        return [m.instance_id for m in others]
+
     def peers(self) -> list[str]:
         """Return the names of all other instances."""
         return [name for name in self._members if name != self._own_id]
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -27,6 +27,7 @@
 from balsamdale import mirror
 from balsamdale import quorum
 from balsamdale import registry
+from balsamdale import relay
 from balsamdale import routes
 from balsamdale import serving
 from balsamdale import settings
@@ -73,6 +74,9 @@
             self.mirror.get,
             self.roster.announce,
         )
+        self.relay = relay.RelayLinks(
+            self.links, self.roster.entry_peers, generator
+        )
         self._seeds = self._add_seeds()
         self._background = background.Background('node')
 
@@ -118,7 +122,7 @@
         self.table: routes.RouteTable | None = None
         self.directory = discovery.Directory()
         self.quorum = quorum.Quorum(
-            self.links,
+            self.relay,
             self.folder_set.all,
             given.losses,
             given.failure_domain,
@@ -237,6 +241,7 @@
         self.service = archive_service.ArchiveService(
             self.archive,
             self.links,
+            self.relay,
             self.folder_set.names,
             given.losses,
             time.time,
--- a/balsamdale/quorum.py
+++ b/balsamdale/quorum.py
@@ -16,13 +16,14 @@
 from balsamdale import errors
 from balsamdale import folders
 from balsamdale import history
-from balsamdale import link
 from balsamdale import placement
+from balsamdale import relay
 
 __all__ = ['Opened', 'Quorum']
 
 TRY_TIMEOUT_S = 0.4
 RETRY_S = 0.05
+LATE_TRIES = 2
 STRAGGLER_S = 0.06
 NEAR_LIMIT = 0.5
 SETTLE_TIMEOUT_S = 3.0
@@ -45,7 +46,7 @@
     """Reads and writes records by majorities.
 
     Args:
-        links: connections to other instances.
+        links: requests to other instances.
         members: returns the set of folders.
         losses: folders that may be lost at once.
         failure_domain: where this instance stands; it reads from there.
@@ -53,7 +54,7 @@
 
     def __init__(
         self,
-        links: link.Links,
+        links: relay.RelayLinks,
         members: collections_abc.Callable[[], tuple[folders.Folder, ...]],
         losses: int,
         failure_domain: str,
@@ -120,10 +121,13 @@
         if message.wants_chain:
             await round_.until(functools.partial(_has, near), STRAGGLER_S)
             first = round_.replies.get(near)
-            chain = first.chain if first is not None else None
-            if chain is None:
-                chain = await self.read_chain(message.parent_id, timeout_s)
-        return Opened(tuple(chain), self._spent(round_, message))
+            missing_id = message.parent_id
+            if first is not None:
+                chain, missing_id = first.turns, first.missing_id
+            if missing_id:
+                before = await self.read_chain(missing_id, timeout_s)
+                chain = before + chain
+        return Opened(chain, self._spent(round_, message))
 
     def _spent(self, round_, message):
         merged = history.merge(reply.entries for reply in _whole(round_))
@@ -132,24 +136,36 @@
     async def read_chain(
         self, turn_id: str, timeout_s: float
     ) -> tuple[history.Turn, ...]:
-        """Return a turn with all before it, from any folder that has it.
+        """Return a turn with all before it, from the folders together.
+
+        No single folder has to hold the whole chain.
 
         Raises:
-            NoQuorum: none has it, but not enough were sure.
-            NoSuchTurn: none has it, and that is certain.
+            NoQuorum: a part is nowhere, but not enough folders are sure.
+            NoSuchTurn: a part is nowhere, and that is certain.
         """
+        chain: tuple[history.Turn, ...] = ()
+        missing_id = turn_id
+        while missing_id:
+            found = await self._read_part(missing_id, timeout_s)
+            chain = found.turns + chain
+            missing_id = found.missing_id
+        return chain
+
+    async def _read_part(self, turn_id, timeout_s):
+        """Return the longest end of a chain that one folder holds."""
         names = [folder.instance_id for folder in self._members()]
+        sure = self._sure_count(len(names))
         message = messages.ReadChain(turn_id)
         round_ = _Round(self._links, dict.fromkeys(names, message), timeout_s)
-        await round_.until(_has_chain)
-        replies = round_.replies
-        for reply in replies.values():
-            if reply.chain is not None:
-                return reply.chain
-        sure = sum(reply.is_whole for reply in replies.values())
-        if sure >= self._sure_count(len(names)):
+        await round_.until(functools.partial(_is_read, sure))
+        replies = list(round_.replies.values())
+        found = max(replies, key=lambda r: len(r.turns), default=None)
+        if found is not None and found.turns:
+            return found
+        if len(_whole(round_)) >= sure:
             raise errors.NoSuchTurn(turn_id)
-        raise errors.NoQuorum(sure, self._sure_count(len(names)))
+        raise errors.NoQuorum(len(_whole(round_)), sure)
 
     async def keep(self, turn: history.Turn, timeout_s: float) -> None:
         """Make a turn durable in a majority of its folders.
@@ -191,7 +207,8 @@
     """One message to each of several peers, and their replies.
 
     A peer that is silent is asked again until the replies are enough or the
-    time is up; those asked already go on after that.
+    time is up, and a few times after that, so that records have more copies
+    than they need.
     """
 
     def __init__(self, links, asked, timeout_s):
@@ -199,6 +216,7 @@
         self._links = links
         self._end_s = asyncio.get_running_loop().time() + timeout_s
         self._is_over = False
+        self._tries_left = {name: LATE_TRIES for name in asked}
         self._pending = {
             asyncio.create_task(self._ask(name, message))
             for name, message in asked.items()
@@ -231,7 +249,9 @@
                 )
                 return
             if self._is_over:
-                return
+                self._tries_left[name] -= 1
+                if not self._tries_left[name]:
+                    return
             await asyncio.sleep(RETRY_S)
 
 
@@ -256,5 +276,8 @@
     return False
 
 
-def _has_chain(replies):
-    return any(reply.chain is not None for reply in replies.values())
+def _is_read(sure, replies):
+    """Tell whether a chain is whole, or no folder can add to the others."""
+    if any(not reply.missing_id for reply in replies.values()):
+        return True
+    return sum(reply.is_whole for reply in replies.values()) >= sure
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -26,7 +26,7 @@
 
 SEND_LIMIT = 4
 LEAST_LEFT_S = 0.02
-OPEN_TIMEOUT_S = 1.5
+OPEN_TIMEOUT_S = 1.0
 KEEP_TIMEOUT_S = 3.0
 RETRY_S = 0.3
 ACCOUNT_GRACE_S = 120.0
--- a/tests/archives.py
+++ b/tests/archives.py
@@ -1,10 +1,14 @@
 """Archives and a quorum before them, joined inside one process."""
 
+import random
+
 from balsamdale import archive
 from balsamdale import archive_service
 from balsamdale import folders
 from balsamdale import link
+from balsamdale import members
 from balsamdale import quorum
+from balsamdale import relay
 
 CLOCK_S = 1000.0
 
@@ -24,9 +28,10 @@
         self.names = [f'd{n}' for n in range(count)]
         for name in self.names:
             self.add(name, True)
-        self.links = link.MemoryLinks('entry', self.network)
+        self.helper = self._relay('helper')
+        self.relay = self._relay('entry')
         self.quorum = quorum.Quorum(
-            self.links, self.members, losses, 'domain-d0'
+            self.relay, self.members, losses, 'domain-d0'
         )
 
     def members(self):
@@ -37,18 +42,35 @@
     def add(self, name, is_whole):
         """Start an archive with an empty folder."""
         held = archive.MemoryArchive(is_whole)
+        links = link.MemoryLinks(name, self.network)
+        links.serve(members.AskAlive, _alive)
         self.services[name] = archive_service.ArchiveService(
             held,
-            link.MemoryLinks(name, self.network),
+            links,
+            relay.RelayLinks(links, list, random.Random(name)),
             lambda: frozenset(self.names),
             self.losses,
             lambda: CLOCK_S,
         )
         return self.services[name]
 
+    def cut_entry(self):
+        """Cut the entry from the archives, but not from the helper."""
+        for name in self.names:
+            self.network.cuts.add(('entry', name))
+            self.network.cuts.add((name, 'entry'))
+
+    def _relay(self, name):
+        links = link.MemoryLinks(name, self.network)
+        return relay.RelayLinks(
+            links,
+            lambda: [n for n in ('entry', 'helper') if n != name],
+            random.Random(name),
+        )
+
     def cut(self, name, is_cut=True):
-        """Cut an archive from the entry and from the others."""
-        for other in ['entry', *self.names]:
+        """Cut an archive from all other instances."""
+        for other in ['entry', 'helper', *self.names]:
             for pair in ((name, other), (other, name)):
                 if is_cut:
                     self.network.cuts.add(pair)
@@ -62,3 +84,7 @@
             for name, service in self.services.items()
             if service.archive.find(turn_id) is not None
         }
+
+
+async def _alive(_sender, _message):
+    yield members.Alive(False)
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -21,14 +21,25 @@
     for number in (1, 2, 3):
         held.put(builders.turn(number, number - 1))
     held.sync()
-    assert [t.turn_id for t in held.chain('t3')] == ['t1', 't2', 't3']
-    assert held.chain('t9') is None
+    turns, missing_id = held.chain('t3')
+    assert [turn.turn_id for turn in turns] == ['t1', 't2', 't3']
+    assert missing_id == ''
+    assert held.chain('t9') == ((), 't9')
 
 
-def test_chain_with_a_hole_is_none(held):
+def test_chain_with_a_hole_ends_there(held):
     held.put(builders.turn(1))
     held.put(builders.turn(3, 2))
-    assert held.chain('t3') is None
+    assert held.chain('t3') == ((builders.turn(3, 2),), 't2')
+
+
+def test_chain_is_kept_as_long_as_its_last_turn(held):
+    held.put(builders.turn(1, expires_at_s=10.0))
+    held.rotate(archive.SEGMENT_AGE_S + 1)
+    held.put(builders.turn(2, 1, expires_at_s=100.0))
+    held.put(builders.turn(3, expires_at_s=10.0))
+    held.expire(50.0)
+    assert len(held.chain('t2')[0]) == 2
 
 
 def test_account_settles_once(held):
@@ -78,7 +89,7 @@
     again = reopened(tmp_path)
     assert again.folder_id == held.folder_id
     assert again.is_whole
-    assert again.chain('t1') == (builders.turn(1),)
+    assert again.find('t1') == builders.turn(1)
     assert len(again.account('p')) == 2
 
 
@@ -124,6 +135,17 @@
     assert not reopened(tmp_path).is_whole
 
 
+def test_reopened_folder_keeps_chains_as_long_as_before(tmp_path):
+    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held.put(builders.turn(1, expires_at_s=10.0))
+    held.rotate(archive.SEGMENT_AGE_S + 1)
+    held.put(builders.turn(2, 1, expires_at_s=100.0))
+    held.close()
+    again = reopened(tmp_path)
+    again.expire(50.0)
+    assert len(again.chain('t2')[0]) == 2
+
+
 def test_old_segments_are_deleted(tmp_path):
     held = archive.DiskArchive(str(tmp_path), True, 0.0)
     held.put(builders.turn(1, expires_at_s=10.0))
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -31,6 +31,30 @@
     virtual.run(scenario())
 
 
+def test_chain_is_joined_from_folders_that_each_lack_a_part():
+    async def scenario():
+        world = archives.World()
+        for number, name in enumerate(world.names, 1):
+            world.cut(name)
+            turn = builders.turn(number, number - 1)
+            await world.quorum.keep(turn, 0.3)
+            await asyncio.sleep(2.0)
+            world.cut(name, False)
+            assert name not in world.holders(turn.turn_id)
+        for name in [None, *world.names]:
+            if name:
+                world.cut(name)
+            chain = await world.quorum.read_chain('t3', 2.0)
+            assert [turn.turn_id for turn in chain] == ['t1', 't2', 't3']
+            message = opening(4, 10, 't3', True)
+            opened = await world.quorum.open(message, 1000, 2.0)
+            assert opened.chain == chain
+            if name:
+                world.cut(name, False)
+
+    virtual.run(scenario())
+
+
 def test_turn_is_not_kept_by_fewer_than_a_majority():
     async def scenario():
         world = archives.World()
