--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -20,9 +20,13 @@
 
 __all__ = ['ArchiveService']
 
+# Seconds between deletions of what is past its retention.
 SWEEP_INTERVAL_S = 2.0
+# Seconds between tries to catch up.
 RETRY_S = 0.2
+# Seconds for one reply of a folder that may wait for its disk.
 PULL_TIMEOUT_S = 1.5
+# Records in flight while a folder is emptied.
 PUSH_PARALLEL = 32
 
 
--- a/balsamdale/balance.py
+++ b/balsamdale/balance.py
@@ -14,9 +14,15 @@
 
 __all__ = ['Balancer', 'Choice']
 
+# Seconds after which half of a told load has ended: about one answer.
 TOLD_HALF_LIFE_S = 0.5
+# Share of a server's slots that may be busier before a request leaves its
+# failure domain: bytes between domains are paid for.
 FAR_COST = 0.15
+# The same before a program leaves the server that holds its prefix:
+# reading 15,000 tokens again takes about a fifth of an answer.
 COLD_PREFIX_COST = 0.2
+# Requests that may wait at a server, as a share of its slots.
 QUEUE_SHARE = 1.0
 
 
@@ -116,6 +122,14 @@
         """Account for a server that can be reached again."""
         self._state(server_id).is_suspect = False
 
+    def forget(self, known: collections_abc.Set[str]) -> None:
+        """Drop what is known of servers that are idle and not among these."""
+        self._states = {
+            name: state
+            for name, state in self._states.items()
+            if name in known or state.in_flight
+        }
+
     def load(self, server: discovery.Server, now_s: float) -> float:
         """Return the estimated requests at a server, own ones included."""
         state = self._state(server.server_id)
--- a/balsamdale/cli.py
+++ b/balsamdale/cli.py
@@ -152,6 +152,29 @@
         )
 
 
+@app.command('explain-request')
+def explain_request(
+    request_id: str,
+    logs: typing.Annotated[
+        list[str], typer.Argument(help='Log files of instances.')
+    ],
+) -> None:
+    """Tell from logs what became of a routed request, and why."""
+    lines = porcelain.explain_request(request_id, logs)
+    if not lines:
+        print(f'no line tells of {request_id}', file=sys.stderr)
+        raise typer.Exit(EXIT_REFUSED)
+    for line in lines:
+        inputs = ' '.join(
+            f'{name}={value}'
+            for name, value in line.items()
+            if name not in ('at_s', 'instance', 'event')
+        )
+        print(
+            f'{line["at_s"]:.4f} {line["instance"]} {line["event"]} {inputs}'
+        )
+
+
 @app.command()
 def explain(program_id: str, entry: Entry, as_json: AsJson = False) -> None:
     """Tell why a program waits, what it has spent and where it is."""
--- a/balsamdale/decisions.py
+++ b/balsamdale/decisions.py
@@ -15,9 +15,13 @@
 
 __all__ = ['DecisionLog', 'dropped', 'install', 'lines', 'record']
 
+# Seconds that a line waits in the buffer.
 FLUSH_INTERVAL_S = 0.2
+# Bytes of one write: what a writable pipe takes at once (PIPE_BUF).
 WRITE_BYTES = 4096
+# Bytes kept for a slow reader.
 BUFFER_BYTES = 262144
+# Lines a second: several times the rate of requests of one entry.
 LINES_PER_S = 400.0
 
 
--- a/balsamdale/discovery.py
+++ b/balsamdale/discovery.py
@@ -11,6 +11,8 @@
 
 __all__ = ['Directory', 'Server']
 
+# Seconds in which lapsed registrations come back after an outage, by the
+# platform's promise.
 RETURN_GRACE_S = 2.0
 
 
--- a/balsamdale/exchange.py
+++ b/balsamdale/exchange.py
@@ -22,10 +22,16 @@
 
 __all__ = ['Exchange', 'Reply']
 
+# Seconds for a new connection: many round trips between domains.
 CONNECT_TIMEOUT_S = 0.25
+# Seconds that an idle connection is used again: below the idle timeouts
+# that servers state in whole seconds.
 IDLE_S = 2.0
+# Milliseconds without an acknowledgement until a connection is broken.
 UNACKED_MS = 1500
+# Bytes of one header field of an answer.
 FIELD_BYTES = 32768
+# Headers that the library would add to callers' own.
 UNWANTED_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
 
--- a/balsamdale/folders.py
+++ b/balsamdale/folders.py
@@ -14,6 +14,8 @@
 __all__ = ['Absences', 'Folder', 'FolderSet', 'key_of']
 
 PREFIX = 'balsamdale/folders/'
+# Seconds until a member is given up: the lease and the probes after it
+# are over by then.
 ABSENT_S = 2.5
 
 
--- a/balsamdale/front.py
+++ b/balsamdale/front.py
@@ -8,15 +8,21 @@
 
 from balsamdale import decisions
 from balsamdale import errors
+from balsamdale import job
 from balsamdale import routes
 from balsamdale import serving
 from balsamdale import wire
 
 __all__ = ['Front', 'listening_socket']
 
+# Connections that may wait to be accepted.
 BACKLOG = 512
+# Milliseconds without an acknowledgement until a connection is broken.
 UNACKED_MS = 5000
+# Seconds that callers' connections may be idle: above the limit that
+# operators set for callers today.
 IDLE_S = 75.0
+# Seconds for answers that are under way when the listener closes.
 SHUTDOWN_S = 0.3
 
 
@@ -94,7 +100,7 @@
         return responder.response
 
 
-class _Responder(serving.Responder):
+class _Responder(job.Responder):
     """The way back over one HTTP connection."""
 
     def __init__(self, request, front):
--- a/balsamdale/members.py
+++ b/balsamdale/members.py
@@ -19,13 +19,21 @@
 __all__ = ['AskAlive', 'Member', 'Presence', 'Roster']
 
 PREFIX = 'balsamdale/instances/'
+# Seconds until the registration of a dead instance ends.
 TTL_S = 3.0
+# Seconds between renewals: three in a lease.
 RENEW_S = 0.9
+# Seconds between tries to end the lease.
 RETRY_S = 0.2
+# Tries to end the lease before it is left to lapse.
 REVOKE_TRIES = 3
+# Seconds between announcements while the service refuses this instance.
 ANNOUNCE_S = 0.8
+# Seconds for an answer to a probe.
 PROBE_TIMEOUT_S = 0.4
+# Unanswered probes after which an instance is gone.
 PROBE_TRIES = 2
+# Seconds between probes of an instance that answers.
 PROBE_INTERVAL_S = 1.0
 
 
--- a/balsamdale/mirror.py
+++ b/balsamdale/mirror.py
@@ -17,12 +17,22 @@
 
 __all__ = ['Follower', 'Mirror']
 
+# Seconds that one watch waits: a call every ten seconds when all is calm.
 WAIT_S = 10.0
+# Seconds that the first watch after an outage waits.
+RETURN_WAIT_S = 0.05
+# Seconds before the first try after a failed call.
 SHORTEST_RETRY_S = 0.1
+# Most seconds between tries, well below the time in which changes must
+# be in force.
 LONGEST_RETRY_S = 0.6
+# Seconds between comparisons with a peer while the service answers.
 COMPARE_INTERVAL_S = 1.0
+# The same while it does not.
 COMPARE_INTERVAL_CUT_S = 0.3
+# Seconds in which the service itself should have told a change.
 BEHIND_GRACE_S = 0.25
+# Seconds for a peer's answer.
 PEER_TIMEOUT_S = 0.5
 
 Listener = collections_abc.Callable[[str, bytes | None], None]
@@ -150,6 +160,10 @@
 class Follower:
     """Keeps a mirror up to date from the service, and from peers.
 
+    Attributes:
+        is_connected: whether the service answered the last call.
+        is_returning: whether changes are those of an outage that ended.
+
     Args:
         mirror: the copy.
         store: the key-value service.
@@ -173,7 +187,8 @@
         self._generator = generator
         self._is_loaded = False
         self.is_connected = False
-        self.connected_at_s = 0.0
+        self.is_returning = False
+        self._watching: asyncio.Timeout | None = None
         self.pulls = 0
         links.serve(CompareMirror, self._on_compare)
         links.serve(PullMirror, self._on_pull)
@@ -188,7 +203,7 @@
             except errors.HistoryLost as error:
                 self._is_loaded = False
                 decisions.record('mirror_reload', reason=str(error))
-            except errors.KeyValueError as error:
+            except (errors.KeyValueError, TimeoutError) as error:
                 self._disconnected(error)
                 await asyncio.sleep(
                     delay_s * self._generator.uniform(0.5, 1.0)
@@ -214,16 +229,21 @@
             self._connected()
             self.mirror.load(pairs, revision)
             self._is_loaded = True
-        changes, revision = await self._store.changes(
-            '', self.mirror.through, WAIT_S
-        )
+            self.is_returning = False
+        # After an outage, what changed meanwhile is told apart from news.
+        wait_s = WAIT_S if self.is_connected else RETURN_WAIT_S
+        async with asyncio.timeout(None) as self._watching:
+            changes, revision = await self._store.changes(
+                '', self.mirror.through, wait_s
+            )
         self._connected()
         self.mirror.apply(changes, revision)
+        self.is_returning = False
 
     def _connected(self):
         if not self.is_connected:
             self.is_connected = True
-            self.connected_at_s = asyncio.get_running_loop().time()
+            self.is_returning = True
             decisions.record('store_regained', through=self.mirror.through)
 
     def _disconnected(self, error):
@@ -243,6 +263,9 @@
             await asyncio.sleep(BEHIND_GRACE_S)
             if reply.changed <= self.mirror.through:
                 return
+            if self.is_connected and self._watching is not None:
+                # The service should have told; the watch may be dead.
+                self._watching.reschedule(asyncio.get_running_loop().time())
             await self._pull(peer_id)
 
     async def _pull(self, peer_id):
--- a/balsamdale/platform/__main__.py
+++ b/balsamdale/platform/__main__.py
@@ -3,16 +3,22 @@
 import os
 import sys
 
+from balsamdale import archive_node
+from balsamdale import entry_node
 from balsamdale import node
 from balsamdale.platform import adapter
 
 VARIABLE = 'BALSAMDALE_SETTINGS'
+ROLES = {
+    'archive': archive_node.ArchiveNode,
+    'entry': entry_node.EntryNode,
+}
 
 
 def main() -> None:
     """Run until SIGTERM, with the settings that the platform wrote."""
     path = os.environ.get(VARIABLE, '')
-    sys.exit(node.main(path, adapter.PlatformAdapter()))
+    sys.exit(node.main(path, adapter.PlatformAdapter(), ROLES))
 
 
 if __name__ == '__main__':
--- a/balsamdale/platform/store.py
+++ b/balsamdale/platform/store.py
@@ -13,11 +13,15 @@
 
 __all__ = ['PlatformKeyValue']
 
+# Seconds for an answer; slow spells of the service stay below it.
 CALL_TIMEOUT_S = 1.5
+# Seconds that a watch may take beyond its wait.
 WATCH_SLACK_S = 1.5
+# TCP keepalive: seconds idle, between probes, and probes until broken.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
+# Milliseconds without an acknowledgement until a connection is broken.
 UNACKED_MS = 2000
 
 
--- a/balsamdale/porcelain.py
+++ b/balsamdale/porcelain.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import difflib
+import json
 import pathlib
 
 import aiohttp
@@ -20,6 +21,7 @@
     'confirm',
     'diff',
     'explain',
+    'explain_request',
     'plan',
     'programs',
     'show_plan',
@@ -121,6 +123,62 @@
     return _call('GET', entry, f'programs/{program_id}')
 
 
+def explain_request(request_id: str, paths: list[str]) -> list[dict]:
+    """Return the log lines that tell of a request, in order of time.
+
+    Besides the lines with its id, these are the last changes before it of
+    what its instance believed: of the server that it was sent to, of the
+    configuration, of the key-value service and of links.
+
+    Args:
+        request_id: the caller's id.
+        paths: log files of instances.
+    """
+    lines = sorted(_log_lines(paths), key=lambda line: line['at_s'])
+    own = [line for line in lines if line.get('id') == request_id]
+    if not own:
+        return []
+    asked = {line['instance'] for line in own}
+    servers = {line['server'] for line in own if line.get('server')}
+    latest: dict[tuple, dict] = {}
+    for line in lines:
+        if line['at_s'] > own[-1]['at_s'] or line['instance'] not in asked:
+            continue
+        subject = _subject(line, servers)
+        if subject is not None:
+            latest[(line['instance'], *subject)] = line
+    found = {id(line): line for line in [*latest.values(), *own]}
+    return sorted(found.values(), key=lambda line: line['at_s'])
+
+
+def _log_lines(paths):
+    """Yield the decisions of log files; other output is passed over."""
+    for path in paths:
+        for text in pathlib.Path(path).read_text().splitlines():
+            try:
+                line = json.loads(text[text.index('{') :])
+            except ValueError:
+                continue
+            if 'at_s' in line and 'event' in line:
+                yield line
+
+
+def _subject(line, servers):
+    """Return what a line tells of, where it may bear on a request."""
+    event = line['event']
+    if event.startswith('server_') and line.get('server') in servers:
+        return ('server', line['server'])
+    if event in ('link_lost', 'link_regained'):
+        return ('link', line['peer'])
+    if event in ('store_lost', 'store_regained'):
+        return ('store',)
+    if event in ('folder_joined', 'folder_left'):
+        return ('folder', line['folder'])
+    if event in ('configuration_in_force', 'started', 'stopping'):
+        return (event,)
+    return None
+
+
 def burn(entry: str) -> tuple[burn_rates.Rate, ...]:
     """Return the service-level burn by contract and window."""
     rows = _call('GET', entry, 'burn')['rates']
--- a/balsamdale/quorum.py
+++ b/balsamdale/quorum.py
@@ -21,11 +21,17 @@
 
 __all__ = ['Opened', 'Quorum']
 
+# Seconds for one reply: a disk sync and a few round trips, with room.
 TRY_TIMEOUT_S = 0.4
+# Seconds between tries.
 RETRY_S = 0.05
+# Tries for copies beyond those needed.
 LATE_TRIES = 2
+# Seconds to wait for replies beyond the majority.
 STRAGGLER_S = 0.06
+# Share of a budget above which all folders are waited for.
 NEAR_LIMIT = 0.5
+# Seconds in which a settlement is tried again.
 SETTLE_TIMEOUT_S = 3.0
 
 
--- a/balsamdale/registry.py
+++ b/balsamdale/registry.py
@@ -8,7 +8,9 @@
 
 __all__ = ['addresses']
 
+# Entries that a domain needs to keep its callers: one may be lost.
 LEAST_NEAR = 2
+# Addresses of one answer; callers read no more.
 MOST = 64
 
 
--- a/balsamdale/relay.py
+++ b/balsamdale/relay.py
@@ -18,8 +18,11 @@
 
 __all__ = ['RelayLinks']
 
+# Seconds between checks of a cut link.
 CHECK_INTERVAL_S = 0.5
+# Seconds for the answer to a check.
 CHECK_TIMEOUT_S = 0.3
+# Seconds after which a link counts as cut.
 DIRECT_TIMEOUT_S = 0.25
 
 
--- /dev/null
+++ b/balsamdale/turn_cache.py
@@ -0,0 +1,43 @@
+"""Access to the turns that an entry has seen lately."""
+
+from balsamdale import history
+
+__all__ = ['TurnCache']
+
+# Bytes of turns kept for programs that come back to this entry.
+CACHE_BYTES = 8 * 1024 * 1024
+
+
+class TurnCache:
+    """Turns bounded by size; the oldest are dropped first.
+
+    Args:
+        limit_bytes: most bytes of inputs and outputs.
+    """
+
+    def __init__(self, limit_bytes: int = CACHE_BYTES):
+        self._limit_bytes = limit_bytes
+        self._size_bytes = 0
+        self._turns: dict[str, history.Turn] = {}
+
+    def chain(self, turn_id: str) -> tuple[history.Turn, ...] | None:
+        """Return the chain of a turn, or None where a part is missing."""
+        turns = []
+        while turn_id:
+            turn = self._turns.get(turn_id)
+            if turn is None:
+                return None
+            turns.append(turn)
+            turn_id = turn.parent_id
+        return tuple(reversed(turns))
+
+    def add(self, turns: tuple[history.Turn, ...]) -> None:
+        """Add turns, dropping older ones for them."""
+        for turn in turns:
+            if turn.turn_id not in self._turns:
+                self._turns[turn.turn_id] = turn
+                self._size_bytes += len(turn.input) + len(turn.output)
+        while self._size_bytes > self._limit_bytes:
+            name = next(iter(self._turns))
+            dropped = self._turns.pop(name)
+            self._size_bytes -= len(dropped.input) + len(dropped.output)
--- a/tests/routed_site.py
+++ b/tests/routed_site.py
@@ -8,6 +8,8 @@
 import aiohttp
 from aiohttp import test_utils
 
+from balsamdale import archive_node
+from balsamdale import entry_node
 from balsamdale import node
 from balsamdale import node_settings
 from balsamdale.platform import adapter
@@ -15,6 +17,10 @@
 from standins import routed
 
 HOST = 'h.example'
+ROLES = {
+    'archive': archive_node.ArchiveNode,
+    'entry': entry_node.EntryNode,
+}
 TURNS = {
     'name': 'turns',
     'host': HOST,
@@ -147,7 +153,7 @@
         else:
             fields['data_folder'] = str(self._folder / name)
         given = node_settings.NodeSettings(**{**fields, **changes})
-        running = node.ROLES[role](given, adapter.PlatformAdapter())
+        running = ROLES[role](given, adapter.PlatformAdapter())
         self.nodes[name] = running
         await running.start()
         return running
@@ -210,7 +216,7 @@
             and len(running.folder_set.names()) == 3
             and len(running.directory.ready('plain')) == 2
             for running in self.nodes.values()
-            if isinstance(running, node.EntryNode)
+            if isinstance(running, entry_node.EntryNode)
         )
 
     async def _serve(self, app):
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -3,6 +3,7 @@
 import pytest
 
 from balsamdale import archive
+from balsamdale import disk_archive
 from tests import builders_routed as builders
 
 
@@ -10,11 +11,11 @@
 def held(request, tmp_path):
     if request.param == 'memory':
         return archive.MemoryArchive()
-    return archive.DiskArchive(str(tmp_path), True, 0.0)
+    return disk_archive.DiskArchive(str(tmp_path), True, 0.0)
 
 
 def reopened(folder):
-    return archive.DiskArchive(str(folder), False, 0.0)
+    return disk_archive.DiskArchive(str(folder), False, 0.0)
 
 
 def test_chain_is_found_oldest_first(held):
@@ -35,7 +36,7 @@
 
 def test_chain_is_kept_as_long_as_its_last_turn(held):
     held.put(builders.turn(1, expires_at_s=10.0))
-    held.rotate(archive.SEGMENT_AGE_S + 1)
+    held.rotate(disk_archive.SEGMENT_AGE_S + 1)
     held.put(builders.turn(2, 1, expires_at_s=100.0))
     held.put(builders.turn(3, expires_at_s=10.0))
     held.expire(50.0)
@@ -82,7 +83,7 @@
 
 
 def test_reopened_folder_has_all(tmp_path):
-    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
     held.put(builders.turn(1))
     held.put(builders.entry(2, 50))
     held.close()
@@ -102,7 +103,7 @@
 
 @pytest.mark.parametrize('cut', [1, 5, 30])
 def test_torn_tail_is_cut(tmp_path, cut):
-    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
     held.put(builders.turn(1))
     held.put(builders.turn(2))
     held.close()
@@ -117,7 +118,7 @@
 
 
 def test_spoiled_record_ends_its_segment(tmp_path):
-    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
     held.put(builders.turn(1))
     held.put(builders.turn(2))
     held.close()
@@ -130,15 +131,15 @@
 
 
 def test_unreadable_identity_is_not_whole(tmp_path):
-    archive.DiskArchive(str(tmp_path), True, 0.0).close()
-    (tmp_path / archive.IDENTITY_NAME).write_bytes(b'{')
+    disk_archive.DiskArchive(str(tmp_path), True, 0.0).close()
+    (tmp_path / disk_archive.IDENTITY_NAME).write_bytes(b'{')
     assert not reopened(tmp_path).is_whole
 
 
 def test_reopened_folder_keeps_chains_as_long_as_before(tmp_path):
-    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
     held.put(builders.turn(1, expires_at_s=10.0))
-    held.rotate(archive.SEGMENT_AGE_S + 1)
+    held.rotate(disk_archive.SEGMENT_AGE_S + 1)
     held.put(builders.turn(2, 1, expires_at_s=100.0))
     held.close()
     again = reopened(tmp_path)
@@ -147,9 +148,9 @@
 
 
 def test_old_segments_are_deleted(tmp_path):
-    held = archive.DiskArchive(str(tmp_path), True, 0.0)
+    held = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
     held.put(builders.turn(1, expires_at_s=10.0))
-    held.rotate(archive.SEGMENT_AGE_S + 1)
+    held.rotate(disk_archive.SEGMENT_AGE_S + 1)
     held.put(builders.turn(2, expires_at_s=100.0))
     held.expire(50.0)
     assert held.find('t1') is None
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -100,6 +100,16 @@
     assert chosen(balancer, servers) == 'x'
 
 
+def test_idle_server_that_is_gone_is_forgotten():
+    balancer = balance.Balancer('a')
+    balancer.failed('x')
+    balancer.started('y')
+    balancer.forget(set())
+    servers = [builders.server('x'), builders.server('y')]
+    assert chosen(balancer, servers) == 'x'
+    assert balancer.load(servers[1], NOW_S) == 1
+
+
 def test_restarted_server_begins_without_a_past():
     balancer = balance.Balancer('a')
     balancer.failed('x')
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,58 @@
+"""Tests of the log of decisions."""
+
+import json
+import os
+
+from balsamdale import decisions
+
+
+def lines_of(descriptor):
+    return [json.loads(t) for t in os.read(descriptor, 10**6).splitlines()]
+
+
+def test_line_carries_instance_event_and_inputs():
+    reader, writer = os.pipe()
+    log = decisions.DecisionLog(writer, 'e1')
+    assert log.add(5.0, 'request', {'id': 'q', 'took_s': 0.1})
+    log.flush()
+    assert lines_of(reader) == [
+        {
+            'at_s': 5.0,
+            'instance': 'e1',
+            'event': 'request',
+            'id': 'q',
+            'took_s': 0.1,
+        }
+    ]
+
+
+def test_lines_beyond_the_rate_are_dropped_and_counted():
+    reader, writer = os.pipe()
+    log = decisions.DecisionLog(writer, 'e1', lines_per_s=10.0)
+    kept = [log.add(5.0, 'x', {}) for _ in range(50)]
+    assert sum(kept) == 10
+    assert log.dropped == 40
+    assert log.add(6.0, 'x', {})
+    log.flush()
+    assert lines_of(reader)[-1]['lines_dropped'] == 40
+
+
+def test_reader_that_does_not_read_holds_nothing_up():
+    reader, writer = os.pipe()
+    log = decisions.DecisionLog(writer, 'e1', lines_per_s=1e9)
+    for _ in range(20000):
+        log.add(5.0, 'x', {'text': 'y' * 100})
+        log.flush()
+    assert log.dropped
+    assert log.add(5.0, 'x', {}) is False
+    os.read(reader, 10**6)
+    log.flush()
+
+
+def test_closed_output_is_survived():
+    reader, writer = os.pipe()
+    os.close(reader)
+    log = decisions.DecisionLog(writer, 'e1')
+    log.add(5.0, 'x', {})
+    log.flush()
+    assert log.dropped == 1
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,53 @@
+"""Tests of the walk from a request's id to its cause."""
+
+import json
+
+from balsamdale import porcelain
+
+
+def write(path, *lines):
+    path.write_text('\n'.join(json.dumps(line) for line in lines) + '\nnoise')
+    return str(path)
+
+
+def test_request_is_told_with_what_its_instance_believed(tmp_path):
+    first = write(
+        tmp_path / 'a',
+        {'at_s': 1.0, 'instance': 'a', 'event': 'store_regained'},
+        {'at_s': 2.0, 'instance': 'a', 'event': 'store_lost'},
+        {'at_s': 3.0, 'instance': 'a', 'event': 'link_lost', 'peer': 'd'},
+        {
+            'at_s': 4.0,
+            'instance': 'a',
+            'event': 'request',
+            'id': 'q',
+            'outcome': 'no_quorum',
+            'server': 's',
+        },
+        {
+            'at_s': 3.5,
+            'instance': 'a',
+            'event': 'server_unreachable',
+            'server': 's',
+            'id': 'other',
+        },
+        {'at_s': 5.0, 'instance': 'a', 'event': 'store_regained'},
+    )
+    second = write(
+        tmp_path / 'b',
+        {'at_s': 2.5, 'instance': 'b', 'event': 'store_lost'},
+    )
+    found = porcelain.explain_request('q', [first, second])
+    assert [line['event'] for line in found] == [
+        'store_lost',
+        'link_lost',
+        'server_unreachable',
+        'request',
+    ]
+
+
+def test_unknown_request_has_no_lines(tmp_path):
+    path = write(
+        tmp_path / 'a', {'at_s': 1.0, 'instance': 'a', 'event': 'started'}
+    )
+    assert porcelain.explain_request('q', [path]) == []
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from balsamdale import errors
 from balsamdale import keyvalue
 from balsamdale import link
 from balsamdale import mirror
@@ -42,6 +43,7 @@
     def __init__(self, store):
         self._store = store
         self.is_open = True
+        self.is_silent = False
 
     async def scan(self, prefix):
         self._store.available = self.is_open
@@ -56,7 +58,12 @@
             await self._store._check()
         finally:
             self._store.available = True
-        return await self._store.changes(prefix, revision, wait_s)
+        found = await self._store.changes(prefix, revision, wait_s)
+        if self.is_silent:
+            # The client gives a call up that is not answered.
+            await asyncio.sleep(wait_s + 1.5)
+            raise errors.KeyValueUnavailable('silent', False)
+        return found
 
 
 def test_changes_arrive_at_once():
@@ -109,6 +116,47 @@
     virtual.run(scenario())
 
 
+def test_changes_of_an_outage_are_told_apart_from_news():
+    async def scenario():
+        site = Site()
+        site.start()
+        follower = site.followers['x']
+        heard = []
+        follower.mirror.listen(
+            '', lambda key, _value: heard.append((key, follower.is_returning))
+        )
+        await asyncio.sleep(0.1)
+        site.stores['x'].is_open = site.stores['y'].is_open = False
+        await asyncio.sleep(mirror.WAIT_S + 1.0)
+        await site.store.put('old', b'1')
+        site.stores['x'].is_open = site.stores['y'].is_open = True
+        await asyncio.sleep(1.0)
+        assert follower.is_connected
+        await site.store.put('new', b'1')
+        await asyncio.sleep(0.1)
+        assert heard == [('old', True), ('new', False)]
+
+    virtual.run(scenario())
+
+
+def test_watch_that_stays_silent_is_made_anew():
+    async def scenario():
+        site = Site()
+        site.start()
+        await asyncio.sleep(0.1)
+        site.stores['x'].is_silent = True
+        await site.store.put('a', b'1')
+        await asyncio.sleep(2.0)
+        assert site.get('x', 'a') == b'1'
+        site.stores['x'].is_silent = False
+        await asyncio.sleep(2.5)
+        await site.store.put('a', b'2')
+        await asyncio.sleep(0.1)
+        assert site.get('x', 'a') == b'2'
+
+    virtual.run(scenario())
+
+
 def test_copy_never_goes_back():
     held = mirror.Mirror()
     pair = keyvalue.Pair('a', b'new', 9)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from balsamdale import discovery
 from balsamdale import folders
 from tests import routed_site
 
@@ -132,6 +133,20 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_request_that_may_have_run_is_not_refused_as_unrun(tmp_path):
+    async def scenario(site):
+        for server in site.servers.values():
+            server.switches.drop = 10
+        status, _, headers = await site.post('/reads/x')
+        assert status == 502
+        assert 'Retry-After' not in headers
+        site.servers['plain-1'].switches.refuse = 10
+        status, _, _ = await site.post('/reads/x')
+        assert status == 502
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_request_that_did_not_run_goes_elsewhere(tmp_path):
     async def scenario(site):
         site.servers['plain-1'].switches.refuse = 1
@@ -286,6 +301,28 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_server_removed_after_an_outage_is_dropped_at_once(tmp_path):
+    async def scenario(site):
+        entry = site.nodes['entry-a']
+        site.store.switches.reset = True
+        await site.wait(lambda: not entry.follower.is_connected)
+        site.store.remove('servers/plain-1')
+        site.store.switches.reset = False
+        await site.wait(lambda: entry.follower.is_connected)
+        await asyncio.sleep(0.2)
+        names = {s.server_id for s in entry.directory.ready('plain')}
+        assert names == {'plain-1', 'plain-2'}
+        site.store.remove('servers/plain-2')
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        await site.wait(lambda: len(entry.directory.ready('plain')) == 1)
+        assert entry.directory.ready('plain')[0].server_id == 'plain-1'
+        assert loop.time() - start_s < discovery.RETURN_GRACE_S
+        await site.wait(lambda: not entry.directory.ready('plain'))
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_reused_address_does_not_run_the_request(tmp_path):
     async def scenario(site):
         directory = site.nodes['entry-a'].directory
