Keep sockets, listeners and clocks in one place each

A value that is not base64 was taken as empty without a line.

Ruled out: moving the decoding of calls out of the folder (it is what the folder is for).

Change: sockets.py has the options and the plain listener; watching by calls for changes stands in the base class; clocks are handed to an instance; an unreadable value is logged.

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import time
 
 from absl import logging
 
@@ -33,11 +32,14 @@
     """Keeps turns and accounts on its disk."""
 
     def __init__(
-        self, given: node_settings.NodeSettings, adapted: adapter.Adapter
+        self,
+        given: node_settings.NodeSettings,
+        adapted: adapter.Adapter,
+        clocks: node.Clocks,
     ):
-        super().__init__(given, adapted)
+        super().__init__(given, adapted, clocks)
         self.archive = disk_archive.DiskArchive(
-            given.data_folder, given.is_first_start, time.time()
+            given.data_folder, given.is_first_start, self.clocks.wall()
         )
         self.service = archive_service.ArchiveService(
             self.archive,
@@ -45,7 +47,7 @@
             self.relay,
             self.folder_set.names,
             given.losses,
-            time.time,
+            clocks.wall,
         )
         self._absences = folders.Absences(given.losses)
         self._emptying: asyncio.Task | None = None
@@ -112,7 +114,7 @@
         await self.service.catch_up()
         present = frozenset(m.instance_id for m in self.roster.archives())
         gone = self._absences.given_up(
-            names, present | {name}, time.monotonic()
+            names, present | {name}, self.clocks.steady()
         )
         if gone and await self.service.repair(frozenset(gone)):
             for other in gone:
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -1,7 +1,6 @@
 """Access to an entry: an instance that serves callers."""
 
 import asyncio
-import time
 
 from balsamdale import adapter
 from balsamdale import balance
@@ -43,9 +42,12 @@
     """Serves callers."""
 
     def __init__(
-        self, given: node_settings.NodeSettings, adapted: adapter.Adapter
+        self,
+        given: node_settings.NodeSettings,
+        adapted: adapter.Adapter,
+        clocks: node.Clocks,
     ):
-        super().__init__(given, adapted)
+        super().__init__(given, adapted, clocks)
         self.table: routes.RouteTable | None = None
         self.directory = discovery.Directory()
         self.balancer = balance.Balancer(given.failure_domain)
@@ -66,8 +68,8 @@
                 exchange=self.exchange,
                 quorum=self.quorum,
                 form=adapted.form,
-                clock=time.monotonic,
-                wall_clock=time.time,
+                clock=clocks.steady,
+                wall_clock=clocks.wall,
                 quarantine=self.quarantine,
                 report_crash=self._report_crash,
                 record_latency=self.metrics.histogram(
@@ -180,7 +182,7 @@
 
     def _server_changed(self, key, value):
         server_id = key.removeprefix(self.adapter.server_prefix)
-        now_s = time.monotonic()
+        now_s = self.clocks.steady()
         if value is None:
             # Leases also lapse while the service is away.
             follower = self.follower
@@ -200,5 +202,5 @@
     async def _run_expiry(self):
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
-            self.directory.expire(time.monotonic())
+            self.directory.expire(self.clocks.steady())
             self.balancer.forget({s.server_id for s in self.directory})
--- a/balsamdale/exchange.py
+++ b/balsamdale/exchange.py
@@ -9,7 +9,6 @@
 import contextlib
 import dataclasses
 import functools
-import socket
 
 import aiohttp
 from aiohttp import client_proto
@@ -18,6 +17,7 @@
 import yarl
 
 from balsamdale import errors
+from balsamdale import sockets
 from balsamdale import wire
 
 __all__ = ['Exchange', 'Reply']
@@ -27,8 +27,6 @@
 # Seconds that an idle connection is used again: below the idle timeouts
 # that servers state in whole seconds.
 IDLE_S = 2.0
-# Milliseconds without an acknowledgement until a connection is broken.
-UNACKED_MS = 1500
 # Bytes of one header field of an answer.
 FIELD_BYTES = 32768
 # Headers that the library would add to callers' own.
@@ -157,7 +155,7 @@
                 limit=0,
                 limit_per_host=self._limit,
                 keepalive_timeout=IDLE_S,
-                socket_factory=_socket,
+                socket_factory=sockets.connecting,
                 use_dns_cache=False,
             )
             protocol = type(
@@ -185,12 +183,3 @@
             # library when a kept connection turns out to be closed.
             self._session._retry_connection = False
         return self._session
-
-
-def _socket(info):
-    family, kind, protocol, _, _ = info
-    made = socket.socket(family, kind, protocol)
-    made.setblocking(False)
-    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
-    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return made
--- a/balsamdale/front.py
+++ b/balsamdale/front.py
@@ -1,7 +1,6 @@
 """Access to the HTTP side for routed requests."""
 
 import asyncio
-import socket
 
 import aiohttp
 from aiohttp import web
@@ -11,14 +10,13 @@
 from balsamdale import job
 from balsamdale import routes
 from balsamdale import serving
+from balsamdale import sockets
 from balsamdale import wire
 
-__all__ = ['Front', 'listening_socket']
+__all__ = ['Front']
 
 # Connections that may wait to be accepted.
 BACKLOG = 512
-# Milliseconds without an acknowledgement until a connection is broken.
-UNACKED_MS = 5000
 # Seconds that callers' connections may be idle: above the limit that
 # operators set for callers today.
 IDLE_S = 75.0
@@ -59,7 +57,7 @@
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
         await self._runner.setup()
         site = web.SockSite(
-            self._runner, listening_socket(address), backlog=BACKLOG
+            self._runner, sockets.listening(address), backlog=BACKLOG
         )
         await site.start()
 
@@ -145,13 +143,3 @@
             await writing
         except (ConnectionError, aiohttp.ClientError) as error:
             raise errors.CallerGone(str(error)) from error
-
-
-def listening_socket(address: str) -> socket.socket:
-    """Return a bound socket whose connections notice a silent peer."""
-    host, _, port = address.rpartition(':')
-    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
-    made.bind((host, int(port)))
-    return made
--- a/balsamdale/keyvalue.py
+++ b/balsamdale/keyvalue.py
@@ -26,6 +26,8 @@
 ]
 
 CALL_TIMEOUT_S = 3.0
+# Seconds that one call for changes waits.
+WATCH_WAIT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,6 +100,16 @@
 class LeasedKeyValue(KeyValue):
     """Compare-and-swap storage with leases and a history of changes."""
 
+    async def watch(
+        self, prefix: str, revision: int
+    ) -> collections_abc.AsyncIterator[Pair]:
+        after = revision - 1
+        while True:
+            found, after = await self.changes(prefix, after, WATCH_WAIT_S)
+            for change in found:
+                if change.value is not None:
+                    yield Pair(change.key, change.value, change.revision)
+
     @abc.abstractmethod
     async def changes(
         self, prefix: str, revision: int, wait_s: float
--- a/balsamdale/metrics.py
+++ b/balsamdale/metrics.py
@@ -12,6 +12,8 @@
 from opentelemetry.sdk import metrics as sdk_metrics
 import prometheus_client
 
+from balsamdale import sockets
+
 __all__ = ['Gauge', 'Histogram', 'Metrics', 'serve']
 
 Gauge = collections_abc.Callable[[], float]
@@ -67,8 +69,4 @@
     async def answer(_request):
         return web.Response(body=held.text(), content_type='text/plain')
 
-    runner = web.ServerRunner(web.Server(answer, access_log=None))
-    await runner.setup()
-    host, _, port = address.rpartition(':')
-    await web.TCPSite(runner, host, int(port)).start()
-    return runner
+    return await sockets.serve(answer, address)
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -1,10 +1,13 @@
 """Access to what every instance on a platform has."""
 
 import asyncio
+from collections import abc as collections_abc
+import dataclasses
 import gc
 import random
 import signal
 import sys
+import time
 
 from balsamdale import adapter
 from balsamdale import background
@@ -19,23 +22,41 @@
 from balsamdale import relay
 from balsamdale import zeromq
 
-__all__ = ['Node', 'main']
+__all__ = ['Clocks', 'Node', 'main']
 
 # Exit status for settings that cannot be used.
 EXIT_SETTINGS = 2
 
 
+@dataclasses.dataclass(frozen=True)
+class Clocks:
+    """Sources of the present time, in seconds.
+
+    Attributes:
+        steady: never steps; for durations.
+        wall: since the Unix epoch; for what others read.
+    """
+
+    steady: collections_abc.Callable[[], float] = time.monotonic
+    wall: collections_abc.Callable[[], float] = time.time
+
+
 class Node:
     """What every instance has: links, a mirror, and its registration.
 
     Args:
         given: the settings.
         adapted: the platform.
+        clocks: the present time.
     """
 
     def __init__(
-        self, given: node_settings.NodeSettings, adapted: adapter.Adapter
+        self,
+        given: node_settings.NodeSettings,
+        adapted: adapter.Adapter,
+        clocks: Clocks,
     ):
+        self.clocks = clocks
         self.settings = given
         self.adapter = adapted
         self.store: keyvalue.LeasedKeyValue = adapted.open_store(given)
@@ -172,7 +193,7 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, given, path)
     flushing = asyncio.create_task(log.run())
-    running = roles[given.role](given, adapted)
+    running = roles[given.role](given, adapted, Clocks())
     await running.start()
     decisions.record('started', role=given.role)
     gc.collect()
--- a/balsamdale/platform/adapter.py
+++ b/balsamdale/platform/adapter.py
@@ -7,13 +7,13 @@
 
 from balsamdale import adapter
 from balsamdale import discovery
-from balsamdale import front
 from balsamdale import keyvalue
 from balsamdale import node_settings
 from balsamdale.platform import headers
 from balsamdale.platform import records
 from balsamdale.platform import store
 from balsamdale import routes
+from balsamdale import sockets
 
 __all__ = ['PlatformAdapter']
 
@@ -45,15 +45,16 @@
         self, instance_id: str, is_done: bool
     ) -> tuple[str, bytes]:
         key = f'status/retire/{instance_id}'
-        return key, records.encode_emptying(is_done)
+        state = 'completed' if is_done else 'running'
+        return key, msgspec.json.encode({'state': state})
 
     async def answer_questions(
         self, given: node_settings.NodeSettings, questions: adapter.Questions
     ) -> collections_abc.Callable[[], collections_abc.Awaitable[None]]:
         calls = _Calls(given, questions)
         runners = [
-            await _listen(given.ready_address, calls.ready),
-            await _listen(given.registry_address, calls.resolve),
+            await sockets.serve(calls.ready, given.ready_address),
+            await sockets.serve(calls.resolve, given.registry_address),
         ]
 
         async def stop():
@@ -87,11 +88,3 @@
         return web.Response(
             body=msgspec.json.encode(body), content_type='application/json'
         )
-
-
-async def _listen(address, handler):
-    runner = web.ServerRunner(web.Server(handler, access_log=None))
-    await runner.setup()
-    site = web.SockSite(runner, front.listening_socket(address))
-    await site.start()
-    return runner
--- a/balsamdale/platform/records.py
+++ b/balsamdale/platform/records.py
@@ -10,7 +10,7 @@
 from balsamdale import findings
 from balsamdale import routes
 
-__all__ = ['decode_server', 'decode_table', 'encode_emptying']
+__all__ = ['decode_server', 'decode_table']
 
 STREAMING = 'streaming'
 IDEMPOTENT = 'idempotent'
@@ -127,12 +127,6 @@
     )
 
 
-def encode_emptying(is_done: bool) -> bytes:
-    """Encode how far the emptying of an instance has come."""
-    state = 'completed' if is_done else 'running'
-    return msgspec.json.encode({'state': state})
-
-
 def _decode(decoder, value, place):
     try:
         return decoder.decode(value)
--- a/balsamdale/platform/store.py
+++ b/balsamdale/platform/store.py
@@ -2,14 +2,14 @@
 
 import base64
 import binascii
-from collections import abc as collections_abc
-import socket
 
 import aiohttp
 import msgspec
 
+from balsamdale import decisions
 from balsamdale import errors
 from balsamdale import keyvalue
+from balsamdale import sockets
 
 __all__ = ['PlatformKeyValue']
 
@@ -17,12 +17,6 @@
 CALL_TIMEOUT_S = 1.5
 # Seconds that a watch may take beyond its wait.
 WATCH_SLACK_S = 1.5
-# TCP keepalive: seconds idle, between probes, and probes until broken.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 2
-# Milliseconds without an acknowledgement until a connection is broken.
-UNACKED_MS = 2000
 
 
 class _Item(msgspec.Struct):
@@ -45,11 +39,8 @@
     store_revision: int = 0
 
 
-class _Lease(msgspec.Struct):
+class _Done(msgspec.Struct):
     lease: int = 0
-
-
-class _Written(msgspec.Struct):
     rev: int = 0
 
 
@@ -115,22 +106,10 @@
         changes = tuple(_change(item) for item in found.events)
         return changes, found.store_revision
 
-    async def watch(
-        self, prefix: str, revision: int
-    ) -> collections_abc.AsyncIterator[keyvalue.Pair]:
-        after = revision - 1
-        while True:
-            changes, after = await self.changes(prefix, after, CALL_TIMEOUT_S)
-            for change in changes:
-                if change.value is not None:
-                    yield keyvalue.Pair(
-                        change.key, change.value, change.revision
-                    )
-
     async def grant(self, ttl_s: float) -> int:
         body = {'ttl_ms': int(ttl_s * 1000)}
         _, answer = await self._call('POST', '/kv-lease', body=body)
-        return self._decode(answer, _Lease).lease
+        return self._decode(answer, _Done).lease
 
     async def renew(self, lease: int) -> None:
         status, _ = await self._call('POST', f'/kv-keep/{lease}')
@@ -160,7 +139,7 @@
             return 0
         if status == 404:
             raise errors.LeaseEnded(f'lease {lease} has ended')
-        return self._decode(answer, _Written).rev
+        return self._decode(answer, _Done).rev
 
     async def _call(
         self,
@@ -213,7 +192,9 @@
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
-                    limit=0, socket_factory=_socket, use_dns_cache=False
+                    limit=0,
+                    socket_factory=sockets.connecting,
+                    use_dns_cache=False,
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 trust_env=False,
@@ -224,27 +205,12 @@
         return self._session
 
 
-def _socket(info):
-    """Return a socket that notices a silent service within seconds."""
-    made = socket.socket(info[0], info[1], info[2])
-    made.setblocking(False)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
-        (socket.TCP_USER_TIMEOUT, UNACKED_MS),
-        (socket.TCP_NODELAY, 1),
-    ):
-        made.setsockopt(socket.IPPROTO_TCP, option, value)
-    return made
-
-
 def _value(item):
     """Return a value's bytes; text that is not base64 has none."""
     try:
         return base64.b64decode(item.value, validate=True)
-    except (binascii.Error, ValueError):
+    except (binascii.Error, ValueError) as error:
+        decisions.record('value_unreadable', key=item.key, reason=str(error))
         return b''
 
 
--- a/tests/routed_site.py
+++ b/tests/routed_site.py
@@ -153,7 +153,7 @@
         else:
             fields['data_folder'] = str(self._folder / name)
         given = node_settings.NodeSettings(**{**fields, **changes})
-        running = ROLES[role](given, adapter.PlatformAdapter())
+        running = ROLES[role](given, adapter.PlatformAdapter(), node.Clocks())
         self.nodes[name] = running
         await running.start()
         return running
