Say in a request's line why it was refused

Cause: the line of a refused request named the outcome but not what decided it: which answer broke off, or how many archives answered of how many.

Ruled out: a line of its own for the reason (twice the volume under load).

Change: the line carries the refusal's detail.

Before: "outcome":"broken" alone. After: with "reason".

--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -46,27 +46,28 @@
         context = self._context
         started_s = context.clock()
         job = None
-        code = 'ok'
+        code, reason = 'ok', ''
         self.in_flight += 1
         try:
             job = self._job(call, responder, started_s)
             async with asyncio.timeout_at(job.end_s):
                 await self._run(job)
         except errors.Refused as refused:
-            code = refused.code
+            code, reason = refused.code, refused.detail
             await self._refuse(call, responder, refused)
         except TimeoutError:
             code = 'timed_out'
             await self._refuse(call, responder, _timed_out(job))
-        except errors.CallerGone:
-            code = 'caller_gone'
+        except errors.CallerGone as gone:
+            code, reason = 'caller_gone', str(gone)
             responder.abort()
         except asyncio.CancelledError:
             code = 'caller_gone'
             raise
         finally:
             self.in_flight -= 1
-            self._note(call, job, code, context.clock() - started_s)
+            took_s = context.clock() - started_s
+            self._note(call, job, took_s, code, reason)
 
     def _job(self, call, responder, now_s):
         table = self._context.table()
@@ -237,11 +238,13 @@
         passed_s = self._context.clock() - job.started_s
         job.marks_s[name] = round(passed_s, 4)
 
-    def _note(self, call, job, code, took_s):
+    def _note(self, call, job, took_s, code, reason):
         self.counts[code] = self.counts.get(code, 0) + 1
         route = job.route.name if job is not None else ''
         self._context.record_latency(took_s, {'outcome': code, 'route': route})
         fields = {'id': call.request_id, 'outcome': code}
+        if reason:
+            fields['reason'] = reason
         if call.program_id:
             fields['program'] = call.program_id
         if job is not None:
