--- a/balsamdale/archive.py
+++ b/balsamdale/archive.py
@@ -12,7 +12,7 @@
 
 __all__ = ['Archive', 'Cursor', 'MemoryArchive', 'Record', 'settled']
 
-# Bytes of one reply to a folder that catches up: 2 ms of its link.
+# Bytes of one reply to a folder that catches up: a few ms of its link.
 PULL_BYTES = 262144
 # Turns of one chain; the longest programs expected have 72.
 CHAIN_LIMIT = 256
--- a/harness/capacity.py
+++ b/harness/capacity.py
@@ -330,7 +330,7 @@
         f'Written by `make capacity` from docs/measure/bench.json (commit '
         f'{bench["commit"]}) and docs/measure/results.json (commit '
         f'{policy["commit"]}); do not edit. The target is in '
-        f'[developers.md](developers.md).',
+        f'[DEVELOPERS.md](../DEVELOPERS.md).',
         '',
         'A slope over fleets is the line through the two largest measured '
         'ones, drawn on to 1,200 and never downwards. Verdicts compare with '
