--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -19,6 +19,8 @@
 
 __all__ = ['Serving']
 
+# Seconds in which an instance that starts reads the configuration.
+CONFIGURATION_RETRY_S = 0.05
 # Seconds for the reservation of a turn.
 OPEN_TIMEOUT_S = 1.0
 # Seconds for an answer's last part to become durable.
@@ -77,7 +79,7 @@
                 503,
                 'no configuration yet',
                 'no',
-                attempts.RETRY_S,
+                CONFIGURATION_RETRY_S,
             )
         route = table.match(call.host, call.path)
         if route is None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -41,6 +41,16 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_callers_of_an_instance_that_starts_come_back_at_once(tmp_path):
+    async def scenario(site):
+        site.nodes['entry-b'].table = None
+        status, _, headers = await site.post('/reads/x', entry='entry-b')
+        assert status == 503
+        assert float(headers['Retry-After']) <= 0.1
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_budget_holds_over_instances(tmp_path):
     async def scenario(site):
         assert (await site.turn('t1', budget=70))[0] == 200
