--- a/balsamdale/members.py
+++ b/balsamdale/members.py
@@ -212,6 +212,7 @@
         member: returns what this instance says of itself.
         mirror_value: returns the registered value as the mirror has it.
         announce: tells the others of this instance directly.
+        unavailable: told of each call that the service did not answer.
     """
 
     def __init__(
@@ -222,8 +223,10 @@
         announce: collections_abc.Callable[
             [Member, bool], collections_abc.Awaitable[None]
         ],
+        unavailable: collections_abc.Callable[[str], None],
     ):
         self._announce = announce
+        self._unavailable = unavailable
         self._store = store
         self._member = member
         self._mirror_value = mirror_value
@@ -240,8 +243,8 @@
             except errors.LeaseEnded:
                 decisions.record('lease_ended', lease=self._lease)
                 self._lease = 0
-            except errors.KeyValueError:
-                # The follower of the mirror logs outages.
+            except errors.KeyValueError as error:
+                self._unavailable(str(error))
                 await self._announce(self._member(), False)
                 await asyncio.sleep(ANNOUNCE_S)
 
--- a/balsamdale/mirror.py
+++ b/balsamdale/mirror.py
@@ -189,6 +189,7 @@
         self.is_connected = False
         self.is_returning = False
         self._watching: asyncio.Timeout | None = None
+        self._doubt = ''
         self.pulls = 0
         links.serve(CompareMirror, self._on_compare)
         links.serve(PullMirror, self._on_pull)
@@ -203,7 +204,7 @@
             except errors.HistoryLost as error:
                 self._is_loaded = False
                 decisions.record('mirror_reload', reason=str(error))
-            except (errors.KeyValueError, TimeoutError) as error:
+            except errors.KeyValueError as error:
                 self._disconnected(error)
                 await asyncio.sleep(
                     delay_s * self._generator.uniform(0.5, 1.0)
@@ -223,6 +224,20 @@
             if peers:
                 await self._compare(self._generator.choice(peers))
 
+    def doubt(self, reason: str) -> None:
+        """Make the watch anew, as the service may be away behind it.
+
+        A watch that waits outlives an outage without a sign, and answers
+        with the registrations that lapsed meanwhile as if they were news.
+
+        Args:
+            reason: what raised the doubt.
+        """
+        watching, self._watching = self._watching, None
+        if self.is_connected and watching is not None:
+            self._doubt = reason
+            watching.reschedule(asyncio.get_running_loop().time())
+
     async def _follow(self):
         if not self._is_loaded:
             pairs, revision = await self._store.scan('')
@@ -232,14 +247,24 @@
             self.is_returning = False
         # After an outage, what changed meanwhile is told apart from news.
         wait_s = WAIT_S if self.is_connected else RETURN_WAIT_S
-        async with asyncio.timeout(None) as self._watching:
-            changes, revision = await self._store.changes(
-                '', self.mirror.through, wait_s
-            )
+        changes, revision = await self._watch(wait_s)
         self._connected()
         self.mirror.apply(changes, revision)
         self.is_returning = False
 
+    async def _watch(self, wait_s):
+        try:
+            async with asyncio.timeout(None) as self._watching:
+                return await self._store.changes(
+                    '', self.mirror.through, wait_s
+                )
+        except TimeoutError as error:
+            raise errors.KeyValueUnavailable(
+                f'the watch was given up: {self._doubt}', False
+            ) from error
+        finally:
+            self._watching = None
+
     def _connected(self):
         if not self.is_connected:
             self.is_connected = True
@@ -263,9 +288,7 @@
             await asyncio.sleep(BEHIND_GRACE_S)
             if reply.changed <= self.mirror.through:
                 return
-            if self.is_connected and self._watching is not None:
-                # The service should have told; the watch may be dead.
-                self._watching.reschedule(asyncio.get_running_loop().time())
+            self.doubt(f'{peer_id} knows a later change')
             await self._pull(peer_id)
 
     async def _pull(self, peer_id):
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -75,6 +75,7 @@
             self.member,
             self.mirror.get,
             self.roster.announce,
+            self.follower.doubt,
         )
         self.relay = relay.RelayLinks(
             self.links, self.roster.entry_peers, generator
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -33,7 +33,11 @@
         )
         member = members.Member(name, 'a', f'{name}:1', f'{name}:2')
         presence = members.Presence(
-            self.store, lambda: member, copy.get, roster.announce
+            self.store,
+            lambda: member,
+            copy.get,
+            roster.announce,
+            follower.doubt,
         )
         self.rosters[name] = roster
         self.presences[name] = presence
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -188,3 +188,22 @@
     assert (held.through, held.changed) == (10, 5)
     held.load([], 12)
     assert (held.through, held.changed) == (12, 12)
+
+
+def test_comparing_goes_on_while_the_copy_is_read_anew():
+    """A watch that has ended cannot be given up again."""
+
+    async def scenario():
+        site = Site()
+        site.start()
+        await asyncio.sleep(0.1)
+        follower = site.followers['x']
+        follower.doubt('first')
+        await asyncio.sleep(0)
+        follower.doubt('again, while no watch waits')
+        await asyncio.sleep(1.0)
+        await site.store.put('a', b'1')
+        await asyncio.sleep(0.1)
+        assert site.get('x', 'a') == b'1'
+
+    virtual.run(scenario())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 
 from balsamdale import discovery
 from balsamdale import folders
+from balsamdale import members
 from tests import routed_site
 
 
@@ -51,6 +52,25 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_servers_that_lapse_behind_a_parked_watch_are_kept(tmp_path):
+    async def scenario(site):
+        site.store.switches.refuse_status = 503
+        await asyncio.sleep(members.RENEW_S + 0.5)
+        for name in site.servers:
+            site.store.remove(f'servers/{name}')
+        await asyncio.sleep(0.3)
+        assert (await site.post('/reads/x'))[0] == 200
+        site.store.switches.refuse_status = 0
+        entry = site.nodes['entry-a']
+        await site.wait(lambda: entry.follower.is_connected)
+        await asyncio.sleep(discovery.RETURN_GRACE_S / 2)
+        assert (await site.post('/reads/x'))[0] == 200
+        await asyncio.sleep(discovery.RETURN_GRACE_S)
+        assert (await site.post('/reads/x'))[0] == 503
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_budget_holds_over_instances(tmp_path):
     async def scenario(site):
         assert (await site.turn('t1', budget=70))[0] == 200
