--- a/tests/archives.py
+++ b/tests/archives.py
@@ -19,9 +19,19 @@
     Args:
         count: archives.
         losses: archives that may be lost at once.
+        make_archive: returns an empty archive; told whether it is whole.
+        make_links: returns an instance's links to the others.
     """
 
-    def __init__(self, count=3, losses=1):
+    def __init__(
+        self,
+        count=3,
+        losses=1,
+        make_archive=archive.MemoryArchive,
+        make_links=link.MemoryLinks,
+    ):
+        self._make_archive = make_archive
+        self._make_links = make_links
         self.network = link.MemoryNetwork()
         self.losses = losses
         self.services = {}
@@ -41,8 +51,8 @@
 
     def add(self, name, is_whole):
         """Start an archive with an empty folder."""
-        held = archive.MemoryArchive(is_whole)
-        links = link.MemoryLinks(name, self.network)
+        held = self._make_archive(is_whole)
+        links = self._make_links(name, self.network)
         links.serve(members.AskAlive, _alive)
         self.services[name] = archive_service.ArchiveService(
             held,
@@ -61,7 +71,7 @@
             self.network.cuts.add((name, 'entry'))
 
     def _relay(self, name):
-        links = link.MemoryLinks(name, self.network)
+        links = self._make_links(name, self.network)
         return relay.RelayLinks(
             links,
             lambda: [n for n in ('entry', 'helper') if n != name],
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -9,10 +9,13 @@
 import dataclasses
 
 from balsamdale import answer
+from balsamdale import archive
+from balsamdale import archive_service
 from balsamdale import background
 from balsamdale import codec
 from balsamdale import configuration
 from balsamdale import errors
+from balsamdale import history
 from balsamdale import instance
 from balsamdale import journal
 from balsamdale import membership
@@ -20,6 +23,7 @@
 from balsamdale import ownership
 from balsamdale import program
 from balsamdale import quarantine
+from balsamdale import quorum
 from balsamdale import records
 from balsamdale import route
 from balsamdale import shard
@@ -462,3 +466,77 @@
     """One silent peer is enough to call an instance dead."""
     membership.Membership._probe = lambda self, peer_id: []
     membership.VERDICT_S = 0.0
+
+
+@mutation
+def archive_ack_of_one():
+    """One archive's acknowledgement makes a turn durable."""
+    quorum.Quorum.needed = 1
+
+
+@mutation
+def wiped_archive_is_whole():
+    """A wiped archive's silence about a turn counts at once."""
+
+    async def catch_up(self):
+        self.archive.set_whole()
+
+    archive_service.ArchiveService.catch_up = catch_up
+
+
+@mutation
+def wiped_archive_admits():
+    """Reservations count although archives do not know the account."""
+    quorum._whole = lambda round_: list(round_.replies.values())
+    quorum._is_open = lambda needed, sure, replies: len(replies) >= needed
+
+
+@mutation
+def one_archive_is_sure():
+    """A single archive may say that there is no such turn."""
+    quorum.Quorum._sure_count = lambda self, count: 1
+
+
+@mutation
+def catch_up_from_one():
+    """A wiped archive relies on what a single other one holds."""
+    init = archive_service.ArchiveService.__init__
+
+    def bold_init(self, held, links, senders, members, losses, clock):
+        init(self, held, links, senders, members, len(members()) - 1, clock)
+
+    archive_service.ArchiveService.__init__ = bold_init
+
+
+@mutation
+def reservations_not_counted():
+    """Only turns that have ended count."""
+
+    def spent_tokens(merged, without):
+        return sum(
+            entry.tokens
+            for name, entry in merged.items()
+            if name != without and entry.is_settled
+        )
+
+    history.spent_tokens = spent_tokens
+
+
+@mutation
+def reservation_of_one():
+    """A single archive admits a turn."""
+    quorum._is_open = lambda needed, sure, replies: bool(replies)
+
+
+@mutation
+def settlement_ignored():
+    """A turn counts at its most although it has ended."""
+
+    def enter(self, entry):
+        account = self._accounts.setdefault(entry.program_id, {})
+        is_new = entry.turn_id not in account
+        if is_new:
+            account[entry.turn_id] = entry
+        return is_new
+
+    archive.Archive._enter = enter
