Split the steps of the archives' random world

Cause: read as a newcomer, one method of the world served a turn, checked it, cut archives and settled it in sixty lines.

Change: opening, keeping and settling are methods of their own; what is checked, the bounds and the worlds stay as they were.

--- a/tests/proofs/archive_world.py
+++ b/tests/proofs/archive_world.py
@@ -196,87 +196,98 @@
 
     async def _turn(self, step):
         """Serve a turn as an entry does."""
-        now_s = asyncio.get_running_loop().time()
-        program_id = f'p{step.program}'
-        turn_id = f't{next(self._numbers)}'
-        parent_id = self._parent(step.parent)
         entry = self._entries[step.entry]
-        spent = self._spent.setdefault(program_id, {})
-        spent[turn_id] = _Spent()
-        message = messages.OpenTurn(
-            program_id, turn_id, MOST_TOKENS, parent_id, bool(parent_id), 1e9
+        turn_id = f't{next(self._numbers)}'
+        turn = history.Turn(
+            turn_id=turn_id,
+            parent_id=self._parent(step.parent),
+            program_id=f'p{step.program}',
+            input=f'[{turn_id}]'.encode(),
+            output=f'answer to {turn_id}\n'.encode(),
+            tokens=step.tokens,
+            expires_at_s=1e9,
         )
-        try:
-            opened = await entry.open(message, BUDGET_TOKENS, TIMEOUT_S)
-        except errors.NoQuorum:
-            self._end(entry, program_id, turn_id, 0)
-            return
-        except errors.NoSuchTurn as error:
-            raise Broken(f'{parent_id} was kept: {error}') from error
-        if parent_id:
-            self._check_chain(parent_id, opened.chain)
-        if opened.spent_tokens + MOST_TOKENS > BUDGET_TOKENS:
-            if self._is_calm:
-                self._check_refusal(program_id, turn_id, now_s)
-            self._end(entry, program_id, turn_id, 0)
+        spent = self._spent.setdefault(turn.program_id, {})
+        spent[turn.turn_id] = _Spent()
+        if not await self._opens(entry, turn):
+            self._settle(entry, turn, 0)
             return
-        self._hand(program_id, step.tokens)
+        self._hand(turn)
         await asyncio.sleep(SYNC_S)
         for number in step.loses:
             self._is_calm = False
             self._toggle(self._name(number))
-        if step.end == 'abandoned':
-            return
         if step.end == 'kept':
-            turn = history.Turn(
-                turn_id=turn_id,
-                parent_id=parent_id,
-                program_id=program_id,
-                input=f'[{turn_id}]'.encode(),
-                output=f'answer to {turn_id}\n'.encode(),
-                tokens=step.tokens,
-                expires_at_s=1e9,
-            )
-            try:
-                await entry.keep(turn, TIMEOUT_S)
-            except errors.NoQuorum:
-                # A part of the folders may hold it; the caller does not
-                # have it.
-                self._end(entry, program_id, turn_id, step.tokens)
-                return
-            self._kept[turn_id] = turn
-            self._note_end(program_id, turn_id, step.tokens)
+            await self._keep(entry, turn)
+        elif step.end == 'broken off':
+            self._settle(entry, turn, turn.tokens)
+
+    async def _opens(self, entry, turn):
+        """Reserve a turn's tokens; tell whether it may run."""
+        now_s = asyncio.get_running_loop().time()
+        message = messages.OpenTurn(
+            program_id=turn.program_id,
+            turn_id=turn.turn_id,
+            tokens=MOST_TOKENS,
+            parent_id=turn.parent_id,
+            wants_chain=bool(turn.parent_id),
+            expires_at_s=turn.expires_at_s,
+        )
+        try:
+            opened = await entry.open(message, BUDGET_TOKENS, TIMEOUT_S)
+        except errors.NoQuorum:
+            return False
+        except errors.NoSuchTurn as error:
+            raise Broken(f'{turn.parent_id} was kept: {error}') from error
+        if turn.parent_id:
+            self._check_chain(turn.parent_id, opened.chain)
+        fits = opened.spent_tokens + MOST_TOKENS <= BUDGET_TOKENS
+        if not fits and self._is_calm:
+            self._check_refusal(turn, now_s)
+        return fits
+
+    async def _keep(self, entry, turn):
+        try:
+            await entry.keep(turn, TIMEOUT_S)
+        except errors.NoQuorum:
+            # Some folders may hold it; the caller does not have it.
+            self._settle(entry, turn, turn.tokens)
             return
-        self._end(entry, program_id, turn_id, step.tokens)
+        self._kept[turn.turn_id] = turn
+        self._note_end(turn, turn.tokens)
 
     def _parent(self, number):
         names = ['', *self._kept]
         return names[number % len(names)]
 
-    def _end(self, entry, program_id, turn_id, tokens):
-        entry.settle(history.Charge(program_id, turn_id, tokens, True, 1e9))
-        self._note_end(program_id, turn_id, tokens)
+    def _settle(self, entry, turn, tokens):
+        entry.settle(
+            history.Charge(
+                turn.program_id, turn.turn_id, tokens, True, turn.expires_at_s
+            )
+        )
+        self._note_end(turn, tokens)
 
-    def _note_end(self, program_id, turn_id, tokens):
-        spent = self._spent[program_id][turn_id]
+    def _note_end(self, turn, tokens):
+        spent = self._spent[turn.program_id][turn.turn_id]
         spent.tokens = tokens
         spent.ended_s = asyncio.get_running_loop().time()
 
-    def _hand(self, program_id, tokens):
-        total = self._handed.get(program_id, 0) + tokens
-        self._handed[program_id] = total
+    def _hand(self, turn):
+        total = self._handed.get(turn.program_id, 0) + turn.tokens
+        self._handed[turn.program_id] = total
         if total > BUDGET_TOKENS + MOST_TOKENS:
-            raise Broken(f'{program_id} was handed {total} tokens')
+            raise Broken(f'{turn.program_id} was handed {total} tokens')
 
-    def _check_refusal(self, program_id, turn_id, now_s):
+    def _check_refusal(self, turn, now_s):
         """Check that a refused turn did not fit, counted at the most."""
         most_tokens = MOST_TOKENS + sum(
             spent.most_tokens(now_s)
-            for name, spent in self._spent[program_id].items()
-            if name != turn_id
+            for name, spent in self._spent[turn.program_id].items()
+            if name != turn.turn_id
         )
         if most_tokens <= BUDGET_TOKENS:
-            raise Broken(f'{program_id} refused at {most_tokens} tokens')
+            raise Broken(f'{turn.program_id} refused at {most_tokens} tokens')
 
     def _check_chain(self, turn_id, chain):
         expected = []
