Look up workspaces by API key and scope turns and accounts by workspace

Change: the route table holds workspaces with digests of their keys; a request on a route that is not public needs one, the name goes to the server and the key nowhere. A key is checked again before each attempt. Ids of stored turns and accounts carry the workspace, so another workspace's turn is not found. Without workspaces in the configuration nothing changes.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -17,7 +17,7 @@
 from balsamdale import quarantine
 from balsamdale import request_state
 
-__all__ = ['CALLER_RETRY_AFTER_S', 'Attempts']
+__all__ = ['CALLER_RETRY_AFTER_S', 'Attempts', 'unknown_key_refusal']
 
 # Attempts of one request, including those that reached no server.
 ATTEMPT_LIMIT = 4
@@ -96,6 +96,7 @@
         """
         excluded: set[str] = set()
         while True:
+            self._check_key(state)
             choice = self.choose(state, excluded)
             timeout_s = state.deadline_s - self._context.clock()
             is_limit_reached = (
@@ -118,6 +119,18 @@
             ):
                 return
 
+    def _check_key(self, state):
+        """Refuse a request whose key was revoked while it waited."""
+        table = self._context.table()
+        if state.workspace is None or table.version == state.version:
+            return
+        workspace = table.find_workspace(state.call.key_digest)
+        if workspace is not None and workspace.name == state.workspace.name:
+            return
+        if state.may_have_run:
+            raise self._no_server_refusal(state)
+        raise unknown_key_refusal()
+
     def _no_server_refusal(self, state):
         """Return the refusal of a request that has no attempt left."""
         if state.may_have_run:
@@ -295,6 +308,13 @@
         raise errors.Refused('broken', 502, str(failure), 'unknown')
 
 
+def unknown_key_refusal() -> errors.Refused:
+    """Return the refusal of a request without a key that is in force."""
+    return errors.Refused(
+        'unknown_key', 401, 'the API key is missing or not in force'
+    )
+
+
 def _resuming_call(state):
     """Return the call to send: one that goes on if events were delivered."""
     state.reader.discard_incomplete_event()
--- a/balsamdale/platform/headers.py
+++ b/balsamdale/platform/headers.py
@@ -4,6 +4,7 @@
 from http import cookies
 
 from balsamdale import errors
+from balsamdale import routes
 from balsamdale import wire
 
 __all__ = ['PlatformWireFormat']
@@ -22,6 +23,8 @@
 PROMPT_PREFIX = 'X-Prompt-Prefix'
 OBJECT_KEY_COOKIE = 'X-Affinity-Key'
 LAST_EVENT_ID = 'Last-Event-Id'
+API_KEY = 'Api-Key'
+WORKSPACE = 'X-Tenant'
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -43,6 +46,8 @@
     for name in (
         DEADLINE,
         EXPECTED_SERVER,
+        API_KEY,
+        WORKSPACE,
         'X-Hold',
         'X-Pin-Ms',
         'X-Kv-Backup',
@@ -92,6 +97,7 @@
                 headers, PROGRAM_TIME_LEFT
             ),
             object_key=_parse_cookie(headers, OBJECT_KEY_COOKIE),
+            key_digest=_parse_key(headers),
         )
 
     def request_headers(
@@ -102,6 +108,8 @@
             (DEADLINE, str(max(1, int(timeout_s * 1000)))),
             (EXPECTED_SERVER, server_id),
         ]
+        if call.workspace:
+            headers.append((WORKSPACE, call.workspace))
         if call.last_event_id is None:
             return headers
         headers = [h for h in headers if h[0].lower() != LAST_EVENT_ID.lower()]
@@ -174,6 +182,11 @@
     return morsel.value if morsel is not None else ''
 
 
+def _parse_key(headers):
+    key = headers.get(API_KEY, '').strip()
+    return routes.key_digest(key) if key else b''
+
+
 def _parse_usage(headers):
     """Return the tokens of the prompt and the limit of the answer."""
     text = headers.get(TOKEN_USAGE, '')
--- a/balsamdale/platform/records.py
+++ b/balsamdale/platform/records.py
@@ -43,6 +43,7 @@
     gap_aim_ms: float = 0
     sticky: bool = False
     can_resume: bool = False
+    public: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -63,11 +64,22 @@
     idle_timeout_ms: float = 15000
 
 
+class _Tenant(msgspec.Struct, frozen=True):
+    """A workspace; `rate_per_s` of 0 means that it has no limit."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Config(msgspec.Struct, frozen=True):
     version: int
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = _Limits()
+    tenants: list[_Tenant] = []
 
 
 class _Server(msgspec.Struct, frozen=True):
@@ -104,6 +116,7 @@
             header_timeout_s=config.limits.header_timeout_ms / 1000,
             idle_timeout_s=config.limits.idle_timeout_ms / 1000,
         ),
+        workspaces=tuple(_decode_workspace(r) for r in config.tenants),
     )
 
 
@@ -177,6 +190,17 @@
         event_gap_limit_s=record.gap_aim_ms / 1000,
         is_sticky=record.sticky,
         can_resume=record.can_resume,
+        is_public=record.public,
+    )
+
+
+def _decode_workspace(record):
+    return routes.Workspace(
+        name=record.name,
+        key_digests=frozenset(map(routes.key_digest, record.api_keys)),
+        priority=record.priority,
+        rate_per_s=record.rate_per_s,
+        burst=record.burst,
     )
 
 
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -15,7 +15,14 @@
 from balsamdale import routes
 from balsamdale import wire
 
-__all__ = ['Context', 'RequestState', 'Responder', 'digest']
+__all__ = [
+    'Context',
+    'RecordIds',
+    'RequestState',
+    'Responder',
+    'digest',
+    'record_ids',
+]
 
 
 class Responder(abc.ABC):
@@ -88,6 +95,21 @@
     record_latency: metrics.RecordValue
 
 
+@dataclasses.dataclass(frozen=True)
+class RecordIds:
+    """Ids under which a turn and its program's account are stored.
+
+    Attributes:
+        program_id: id of the program's account.
+        turn_id: id of the turn.
+        parent_id: id of the turn that it continues; empty for none.
+    """
+
+    program_id: str
+    turn_id: str
+    parent_id: str
+
+
 @dataclasses.dataclass
 class RequestState:
     """A request that this instance is serving.
@@ -111,6 +133,8 @@
         report_age_s: age of that server's load report at the time.
         stage_times_s: time since arrival of each stage reached.
         reader: reads the events of a streamed response.
+        workspace: the workspace of the caller's key; None without one.
+        record_ids: ids of its stored turn and account.
     """
 
     call: wire.Call
@@ -132,6 +156,42 @@
     reader: events.EventReader = dataclasses.field(
         default_factory=events.EventReader
     )
+    workspace: routes.Workspace | None = None
+    record_ids: RecordIds = RecordIds('', '', '')
+
+    @property
+    def priority(self) -> int:
+        """Rank in queues: the workspace's, or else the route's; 0 first."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
+
+def record_ids(
+    call: wire.Call,
+    table: routes.RouteTable,
+    workspace: routes.Workspace | None,
+) -> RecordIds:
+    """Return the ids under which a turn is stored.
+
+    Where the table has workspaces, an id starts with the length and the name
+    of its workspace, so that no caller can name a turn or a program of
+    another one.
+
+    Args:
+        call: the caller's request.
+        table: the routes in force.
+        workspace: the workspace of the caller's key; None without one.
+    """
+    prefix = ''
+    if table.workspaces:
+        name = workspace.name if workspace is not None else ''
+        prefix = f'{len(name)}:{name}:'
+    return RecordIds(
+        program_id=prefix + call.program_id,
+        turn_id=prefix + call.request_id,
+        parent_id=prefix + call.parent_id if call.parent_id else '',
+    )
 
 
 def digest(call: wire.Call) -> str:
--- a/balsamdale/routes.py
+++ b/balsamdale/routes.py
@@ -5,8 +5,22 @@
 
 import dataclasses
 import functools
+import hashlib
 
-__all__ = ['Limits', 'Route', 'RouteTable', 'Service', 'Target']
+__all__ = [
+    'Limits',
+    'Route',
+    'RouteTable',
+    'Service',
+    'Target',
+    'Workspace',
+    'key_digest',
+]
+
+
+def key_digest(key: str) -> bytes:
+    """Return the digest of an API key, the only form that is kept of it."""
+    return hashlib.sha256(key.encode()).digest()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +54,7 @@
             faster at it.
         can_resume: whether a stream may go on at another server after its
             last complete event.
+        is_public: whether requests need no API key.
     """
 
     name: str
@@ -57,6 +72,7 @@
     event_gap_limit_s: float = 0.0
     is_sticky: bool = False
     can_resume: bool = False
+    is_public: bool = False
 
     def choose_service(self, hash_value: int) -> str:
         """Return the service for a hash, in proportion to the weights.
@@ -90,6 +106,26 @@
     slots: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """A customer whose requests carry API keys and are limited together.
+
+    Attributes:
+        name: unique name.
+        key_digests: digests of its API keys.
+        priority: rank in queues in place of the route's; None for the
+            route's.
+        rate_per_s: requests per second over all instances; 0 for no limit.
+        burst: requests that may exceed the rate at once.
+    """
+
+    name: str
+    key_digests: frozenset[bytes] = frozenset()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """Limits on the size and the time of callers' requests."""
@@ -108,6 +144,7 @@
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits = Limits()
+    workspaces: tuple[Workspace, ...] = ()
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, or None."""
@@ -124,6 +161,22 @@
         """Return a service; one that is not in the table has defaults."""
         return self._services.get(name) or Service(name, 64)
 
+    def find_workspace(self, digest: bytes) -> Workspace | None:
+        """Return the workspace that holds a key, or None.
+
+        Args:
+            digest: digest of the key; see `key_digest`.
+        """
+        return self._workspaces_by_digest.get(digest)
+
+    @functools.cached_property
+    def _workspaces_by_digest(self):
+        return {
+            digest: workspace
+            for workspace in self.workspaces
+            for digest in workspace.key_digests
+        }
+
     @functools.cached_property
     def _by_host(self):
         grouped = {}
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import zlib
 
 from balsamdale import archive_messages
@@ -90,6 +91,7 @@
             raise errors.Refused(
                 'no_route', 404, 'no route matches this host and path'
             )
+        workspace = _find_workspace(call, table, route)
         if self._context.quarantine.is_quarantined(request_state.digest(call)):
             raise errors.Refused(
                 'quarantined', 503, 'this request has crashed backend servers'
@@ -98,14 +100,17 @@
         if call.timeout_s is not None:
             timeout_s = min(timeout_s, call.timeout_s)
         hash_value = zlib.crc32((call.program_id or call.request_id).encode())
+        workspace_name = workspace.name if workspace is not None else ''
         return request_state.RequestState(
-            call=call,
+            call=dataclasses.replace(call, workspace=workspace_name),
             route=route,
             service=table.service(route.choose_service(hash_value)),
             responder=responder,
             version=table.version,
             started_s=now_s,
             deadline_s=now_s + timeout_s,
+            workspace=workspace,
+            record_ids=request_state.record_ids(call, table, workspace),
         )
 
     async def _run(self, state):
@@ -123,11 +128,11 @@
         On a route that does not store turns, callers send their own history:
         only the program's account is read and written.
         """
-        call = state.call
+        call, ids = state.call, state.record_ids
         self._check_capacity(state)
         chain = ()
-        if state.route.stores_turns and call.parent_id:
-            chain = self._cache.chain(call.parent_id)
+        if state.route.stores_turns and ids.parent_id:
+            chain = self._cache.chain(ids.parent_id)
         must_settle = bool(call.budget_tokens)
         expires_at_s = self._account_expires_at_s(state)
         try:
@@ -158,8 +163,8 @@
             if must_settle:
                 self._context.quorum.settle(
                     history.Charge(
-                        call.program_id,
-                        call.request_id,
+                        ids.program_id,
+                        ids.turn_id,
                         self._delivered_tokens(state),
                         True,
                         expires_at_s,
@@ -185,10 +190,10 @@
         if not tokens and not wants_chain:
             return quorum.Reservation((), 0)
         message = archive_messages.OpenTurn(
-            program_id=call.program_id,
-            turn_id=call.request_id,
+            program_id=state.record_ids.program_id,
+            turn_id=state.record_ids.turn_id,
             tokens=tokens,
-            parent_id=call.parent_id,
+            parent_id=state.record_ids.parent_id,
             wants_chain=wants_chain,
             expires_at_s=expires_at_s,
         )
@@ -210,12 +215,12 @@
 
     async def _store_turn(self, state):
         """Make the turn durable before its response ends."""
-        call = state.call
+        ids = state.record_ids
         turn = history.Turn(
-            turn_id=call.request_id,
-            parent_id=call.parent_id,
-            program_id=call.program_id,
-            input=call.body,
+            turn_id=ids.turn_id,
+            parent_id=ids.parent_id,
+            program_id=ids.program_id,
+            input=state.call.body,
             output=bytes(state.reader.output),
             tokens=self._delivered_tokens(state),
             expires_at_s=self._context.wall_clock() + state.route.retention_s,
@@ -307,6 +312,8 @@
         if call.program_id:
             fields['program'] = call.program_id
         if state is not None:
+            if state.workspace is not None:
+                fields['workspace'] = state.workspace.name
             fields.update(
                 route=state.route.name,
                 version=state.version,
@@ -322,6 +329,20 @@
         decisions.record('request', **fields)
 
 
+def _find_workspace(call, table, route):
+    """Return the workspace of a caller's key; None if none is needed.
+
+    Raises:
+        Refused: the key is missing or not in force.
+    """
+    if route.is_public or not table.workspaces:
+        return None
+    workspace = table.find_workspace(call.key_digest)
+    if workspace is None:
+        raise attempts.unknown_key_refusal()
+    return workspace
+
+
 def _timed_out(state):
     if state.attempts:
         return errors.Refused(
--- a/balsamdale/wire.py
+++ b/balsamdale/wire.py
@@ -39,6 +39,8 @@
             none.
         last_event_id: id of the event after which a server continues a
             broken stream; None for a whole one.
+        key_digest: digest of the caller's API key; empty without a key.
+        workspace: name of the key's workspace, which servers are told.
     """
 
     request_id: str
@@ -57,6 +59,8 @@
     program_time_left_s: float | None = None
     object_key: str = ''
     last_event_id: str | None = None
+    key_digest: bytes = b''
+    workspace: str = ''
 
     @property
     def path(self) -> str:
--- a/standins/routed.py
+++ b/standins/routed.py
@@ -50,6 +50,7 @@
         self.running = 0
         self.cancelled = 0
         self.bodies: dict[str, bytes] = {}
+        self.headers: dict[str, dict[str, str]] = {}
         self.runs: list[str] = []
         self.deadlines_ms: list[int] = []
 
@@ -75,6 +76,7 @@
         self.deadlines_ms.append(int(request.headers['X-Deadline-Ms']))
         self.runs.append(request_id)
         self.bodies[request_id] = body
+        self.headers[request_id] = dict(request.headers)
         headers['X-Server-Seal'] = hashlib.sha256(body).hexdigest()[:8]
         self.running += 1
         try:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,10 +1,13 @@
 """Tests of the platform's request headers."""
 
+import dataclasses
+
 import multidict
 import pytest
 
 from balsamdale import errors
 from balsamdale.platform import headers
+from balsamdale import routes
 
 WIRE_FORMAT = headers.PlatformWireFormat()
 
@@ -66,6 +69,8 @@
             'X-Kv-Backup': 'a',
             'Kv-From': 'b',
             'Kv-Fetch': 'c',
+            'Api-Key': 'secret',
+            'X-Tenant': 'someone else',
             'X-Expect-Instance': 'd',
             'Connection': 'close, X-Only-Here',
             'X-Only-Here': 'e',
@@ -84,6 +89,16 @@
     assert sent['X-Request-Id'] == 'q'
 
 
+def test_servers_are_told_the_workspace_and_never_the_key():
+    decoded = call(**{'Api-Key': 'secret', 'X-Tenant': 'forged'})
+    assert decoded.key_digest == routes.key_digest('secret')
+    assert call().key_digest == b''
+    decoded = dataclasses.replace(decoded, workspace='w')
+    sent = WIRE_FORMAT.request_headers(decoded, 'i-1', 1.0)
+    assert [v for name, v in sent if name == 'X-Tenant'] == ['w']
+    assert not any('secret' in value for _, value in sent)
+
+
 def test_facts_of_an_answer():
     response_headers = multidict.CIMultiDict(
         {'X-Server-Seal': 's', 'X-Server-Load': '3, 0,8'}
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -6,6 +6,7 @@
 
 from balsamdale import errors
 from balsamdale.platform import records
+from balsamdale import routes
 from tests import builders_routed as builders
 
 SERVER = {
@@ -89,6 +90,20 @@
     assert table.limits.idle_timeout_s == 15.0
 
 
+def test_workspaces_are_decoded_with_digests_of_their_keys():
+    document = json.loads(builders.configuration(public=True))
+    document['tenants'] = [
+        {'name': 'a', 'api_keys': ['k'], 'rate_per_s': 5, 'burst': 2},
+        {'name': 'b', 'api_keys': [], 'priority': 1},
+    ]
+    table = records.decode_table(json.dumps(document).encode())
+    first = table.find_workspace(routes.key_digest('k'))
+    assert (first.name, first.rate_per_s, first.burst) == ('a', 5, 2)
+    assert [w.priority for w in table.workspaces] == [None, 1]
+    assert table.match('h.example', '/a/x').is_public
+    assert 'k' not in repr(table.workspaces[0].key_digests)
+
+
 def test_unknown_kind_is_not_repeated():
     table = records.decode_table(builders.configuration(kind='else'))
     assert not table.match('h.example', '/a/x').is_idempotent
--- a/tests/routed_site.py
+++ b/tests/routed_site.py
@@ -116,7 +116,7 @@
             await self.stop(name)
         await self._stack.aclose()
 
-    def configure(self, version, route_records):
+    def configure(self, version, route_records, workspaces=()):
         """Write a configuration to the store, as the operator does."""
         config = {
             'version': version,
@@ -129,6 +129,7 @@
                 },
                 {'name': 'plain', 'max_conns': 50},
             ],
+            'tenants': list(workspaces),
         }
         self.store.write('op/config', json.dumps(config).encode())
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -40,3 +40,12 @@
 def test_undescribed_service_takes_defaults():
     assert table('/').service('s').max_connections == 5
     assert table('/').service('other').name == 'other'
+
+
+def test_workspace_is_found_by_any_of_its_keys():
+    digests = frozenset(map(routes.key_digest, ('k1', 'k2')))
+    workspace = routes.Workspace('w', digests)
+    route_table = routes.RouteTable(1, (), (), workspaces=(workspace,))
+    assert route_table.find_workspace(routes.key_digest('k2')) is workspace
+    assert route_table.find_workspace(routes.key_digest('k3')) is None
+    assert route_table.find_workspace(b'') is None
