Move the balancer to balsamdale.scheduling

The balancer gets the interface that slot allocation needs: held tokens, requests held by several instances, outcomes.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -10,12 +10,12 @@
 import dataclasses
 
 from balsamdale import background
-from balsamdale import balance
 from balsamdale import decisions
 from balsamdale import errors
 from balsamdale import exchange
 from balsamdale import quarantine
 from balsamdale import request_state
+from balsamdale.scheduling import balance
 
 __all__ = ['CALLER_RETRY_AFTER_S', 'Attempts', 'unknown_key_refusal']
 
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from balsamdale import adapter
-from balsamdale import balance
 from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import errors
@@ -18,6 +17,7 @@
 from balsamdale import registry
 from balsamdale import request_state
 from balsamdale import routes
+from balsamdale.scheduling import balance
 from balsamdale import serving
 
 __all__ = ['EntryNode']
--- a/balsamdale/platform/records.py
+++ b/balsamdale/platform/records.py
@@ -49,6 +49,7 @@
 class _Engine(msgspec.Struct, frozen=True):
     tokens_per_event: int = 1
     slots: int = 0
+    kv_capacity: int = 0
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -211,4 +212,5 @@
         max_connections=record.max_conns,
         tokens_per_event=engine.tokens_per_event,
         slots=engine.slots,
+        memory_tokens=engine.kv_capacity,
     )
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -5,7 +5,6 @@
 import dataclasses
 import hashlib
 
-from balsamdale import balance
 from balsamdale import discovery
 from balsamdale import events
 from balsamdale import exchange
@@ -13,6 +12,7 @@
 from balsamdale import quarantine
 from balsamdale import quorum
 from balsamdale import routes
+from balsamdale.scheduling import balance
 from balsamdale import wire
 
 __all__ = [
--- a/balsamdale/routes.py
+++ b/balsamdale/routes.py
@@ -98,12 +98,14 @@
         max_connections: connections that one server accepts in total.
         tokens_per_event: tokens in one event of a stream.
         slots: requests that a model engine runs at once; 0 if unknown.
+        memory_tokens: tokens that a model engine holds; 0 if unknown.
     """
 
     name: str
     max_connections: int
     tokens_per_event: int = 1
     slots: int = 0
+    memory_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/balsamdale/balance.py
+++ b/balsamdale/scheduling/balance.py
@@ -8,11 +8,12 @@
 from collections import abc as collections_abc
 import dataclasses
 import hashlib
+import typing
 
 from balsamdale import discovery
 from balsamdale import wire
 
-__all__ = ['Balancer', 'Choice']
+__all__ = ['Balancer', 'Choice', 'Outcome']
 
 # Half-life of reported load that is not this instance's own: about the time
 # of one answer.
@@ -28,12 +29,30 @@
 QUEUED_REQUESTS_PER_SLOT = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """How one attempt at a server ended.
+
+    Attributes:
+        kind: 'ok'; 'failed' by the server; 'silent' for too long; 'not_run'.
+        took_s: time from sending the request to the end of the response.
+        prompt_tokens: tokens of the request's prompt; 0 for a plain request.
+        answer_tokens: tokens of its answer; 0 for a plain request.
+    """
+
+    kind: typing.Literal['ok', 'failed', 'silent', 'not_run']
+    took_s: float
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+
+
 @dataclasses.dataclass
 class _ServerState:
     """Load and health of a server as seen by this instance."""
 
     started_ms: int = 0
     in_flight: int = 0
+    held_tokens: int = 0
     report: wire.LoadReport | None = None
     reported_at_s: float = 0.0
     own_requests_at_report: int = 0
@@ -55,10 +74,17 @@
 
     Args:
         failure_domain: failure domain of this instance.
+        queued_per_slot: requests that may queue at a server beyond those in
+            its slots, as a share of the slots.
     """
 
-    def __init__(self, failure_domain: str):
+    def __init__(
+        self,
+        failure_domain: str,
+        queued_per_slot: float = QUEUED_REQUESTS_PER_SLOT,
+    ):
         self._failure_domain = failure_domain
+        self._queued_per_slot = queued_per_slot
         self._states: dict[str, _ServerState] = {}
 
     def choose(
@@ -96,13 +122,27 @@
             ]
         return min(choices, key=lambda c: (c.cost, c.server.server_id))
 
-    def add_request(self, server_id: str) -> None:
-        """Count a request as in flight at a server."""
-        self._state(server_id).in_flight += 1
+    def add_request(self, server_id: str, tokens: int = 0) -> None:
+        """Count a request and its tokens as in flight at a server."""
+        state = self._state(server_id)
+        state.in_flight += 1
+        state.held_tokens += tokens
 
-    def remove_request(self, server_id: str) -> None:
+    def remove_request(self, server_id: str, tokens: int = 0) -> None:
         """Count a request at a server as ended, with any outcome."""
-        self._state(server_id).in_flight -= 1
+        state = self._state(server_id)
+        state.in_flight -= 1
+        state.held_tokens -= tokens
+
+    def set_held(self, server_id: str, requests: int, tokens: int) -> None:
+        """Set the requests and tokens that several instances hold there."""
+        state = self._state(server_id)
+        state.in_flight, state.held_tokens = requests, tokens
+
+    def record_outcome(
+        self, server_id: str, outcome: Outcome, now_s: float
+    ) -> None:
+        """Record how an attempt at a server ended."""
 
     def record_load(
         self, server_id: str, load: wire.LoadReport, now_s: float
@@ -170,7 +210,7 @@
         state = self._current_state(server)
         slots = max(1, server.slots)
         load = self.estimate_load(server, now_s)
-        if load >= slots * (1 + QUEUED_REQUESTS_PER_SLOT):
+        if load >= slots * (1 + self._queued_per_slot):
             return None
         cost = load / slots
         if server.failure_domain != self._failure_domain:
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions in `balsamdale.scheduling`."""
--- a/tests/test_balance.py
+++ b/tests/scheduling/test_balance.py
@@ -1,6 +1,6 @@
 """Tests of the load balancer."""
 
-from balsamdale import balance
+from balsamdale.scheduling import balance
 from balsamdale import wire
 from tests import builders_routed as builders
 
