Limit the requests of workspaces over all entries

Each entry serves the requests of a workspace without knowing what the others admit. An archive lends units of a workspace's bucket to the entries; an entry admits a share while its limiter does not reply. Requests of a workspace that has a limit acquire a unit first, and give it back if no server received them.

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -15,6 +15,7 @@
 from balsamdale import metrics
 from balsamdale import node
 from balsamdale import node_settings
+from balsamdale import quota_service
 from balsamdale import replica_set
 
 __all__ = ['ArchiveNode']
@@ -48,6 +49,9 @@
             settings.losses,
             clocks.wall,
         )
+        self.quota_service = quota_service.QuotaService(
+            self.links, self._limiter_names, clocks.monotonic
+        )
         self._absence_tracker = replica_set.AbsenceTracker(settings.losses)
         self._decommission_task: asyncio.Task | None = None
         key = platform_adapter.decommission_key(settings.instance_id)
@@ -65,12 +69,14 @@
 
     async def start(self) -> None:
         self._background.spawn(self.service.run())
+        self._background.spawn(self.quota_service.run())
         self._background.spawn(self._maintain_replica_set())
         await super().start()
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
         return {
             **super().gauges(),
+            **self.quota_service.gauges(),
             'archive_whole': (
                 'Whether the folder lacks nothing',
                 lambda: float(self.archive.is_in_sync),
@@ -91,6 +97,17 @@
         await super().close()
         await self.service.close()
 
+    def _limiter_names(self):
+        """Return the other archives, and this one until it leaves.
+
+        Entries may know this archive before its mirror has its registration.
+        """
+        own_id = self.settings.instance_id
+        names = {m.instance_id for m in self.member_directory.archives()}
+        if self.member_directory.is_leaving:
+            return sorted(names - {own_id})
+        return sorted(names | {own_id})
+
     async def _maintain_replica_set(self):
         """Join the replica set, and remove the folders declared lost."""
         while not self.mirror.revision:
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -14,6 +14,8 @@
 from balsamdale import node_settings
 from balsamdale import quarantine
 from balsamdale import quorum
+from balsamdale import quota
+from balsamdale import quota_service
 from balsamdale import registry
 from balsamdale import request_state
 from balsamdale import routes
@@ -64,6 +66,22 @@
         self.http_client = exchange.HttpClient(platform_adapter.wire_format)
         self.quarantine = quarantine.Quarantine(QUARANTINE_CRASH_LIMIT)
         self.links.serve(quarantine.ReportCrash, self._on_crash)
+        self.quota_client = quota.QuotaClient(
+            self.relay,
+            self._limiter_names,
+            lambda: len(self.member_directory.entries()),
+            clocks.monotonic,
+            # Message numbers stay above those from before a restart.
+            int(clocks.wall() * 1000),
+            self.metrics.add_histogram(
+                'balsamdale_quota_retry_after_seconds',
+                'Retry-After of requests above the quota of their workspace',
+                quota.RETRY_BOUNDS_S,
+            ),
+        )
+        self.quota_service = quota_service.QuotaService(
+            self.links, self._limiter_names, clocks.monotonic
+        )
         self.handler = serving.RequestHandler(
             request_state.Context(
                 table=lambda: self.table,
@@ -82,6 +100,7 @@
                     'Time from a request to the end of its answer',
                     LATENCY_BOUNDS_S,
                 ),
+                quota=self.quota_client,
             )
         )
         self.listener = listener.Listener(
@@ -110,11 +129,14 @@
             adapter.EntryStatus(self.is_ready, self._addresses),
         )
         self._background.spawn(self._run_expiry())
+        self._background.spawn(self.quota_service.run())
         await super().start()
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
         return {
             **super().gauges(),
+            **self.quota_client.gauges(),
+            **self.quota_service.gauges(),
             'requests_in_flight': (
                 'Requests of callers',
                 lambda: self.handler.in_flight,
@@ -146,6 +168,7 @@
 
     async def close(self) -> None:
         await self.listener.close()
+        self.quota_client.close()
         await self._stop_platform_endpoints()
         await self.http_client.close()
         await super().close()
@@ -157,6 +180,9 @@
         )
         return is_configured and not self.member_directory.is_leaving
 
+    def _limiter_names(self):
+        return quota_service.limiter_names(self.member_directory)
+
     def _broadcast_crash(self, report):
         for peer_id in self.member_directory.entry_peers():
             self._background.spawn(self._send_crash_report(peer_id, report))
--- /dev/null
+++ b/balsamdale/quota_service.py
@@ -0,0 +1,191 @@
+"""Service of request quotas: lends units of the workspaces it limits.
+
+The limiter of a workspace is the first archive by rendezvous hashing, or the
+first entry where there are no archives. Every instance serves; one that is
+not the limiter as far as it knows lends nothing.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+import math
+
+from balsamdale import codec
+from balsamdale import decisions
+from balsamdale import link
+from balsamdale import members
+from balsamdale import metrics
+from balsamdale.scheduling import quota
+
+__all__ = ['LendUnits', 'QuotaService', 'UnitsLent', 'limiter_names']
+
+# Requests that share a message; a message that names more is malformed.
+MAX_UNITS = 1000
+# Interval at which a limiter checks its clock and the known instances.
+OBSERVE_INTERVAL_S = 0.2
+
+
+@codec.message
+class LendUnits:
+    """Asks the limiter of a workspace for units.
+
+    Attributes:
+        workspace: name of the workspace.
+        version: version of the configuration that the limit is from.
+        rate_per_s: requests per second.
+        burst: requests that may exceed the rate at once.
+        wanted: units that are asked for; 0 for a probe.
+        returned: units lent earlier that were not used.
+        sequence: number of the message; increases, also over restarts.
+        admitted: requests that the entry admitted without the limiter.
+        is_changed: whether another instance lent to the entry recently.
+    """
+
+    workspace: str
+    version: int
+    rate_per_s: float
+    burst: float
+    wanted: int
+    returned: int
+    sequence: int = 0
+    admitted: int = 0
+    is_changed: bool = False
+
+
+@codec.message
+class UnitsLent:
+    """Reply with the units that are lent; see `scheduling.quota.Lease`.
+
+    Attributes:
+        units: units lent.
+        retry_after_s: time until the first refused unit may be asked for.
+        level: units in the bucket.
+        spent: units lent recently to all entries.
+        wait_s: time until the last lent unit may be used.
+        is_limiter: False if the instance does not limit this workspace as
+            far as it knows, or the message was malformed.
+    """
+
+    units: int
+    retry_after_s: float
+    level: float
+    spent: float
+    wait_s: float = 0.0
+    is_limiter: bool = True
+
+
+def limiter_names(directory: members.MemberDirectory) -> list[str]:
+    """Return the instances that may limit: archives, or else entries."""
+    found = directory.archives() or directory.entries()
+    return [member.instance_id for member in found]
+
+
+class QuotaService:
+    """Lends units of the workspaces that this instance limits.
+
+    Args:
+        links: connections to peers.
+        candidates: returns the ids of the instances that may limit, with
+            this one if it may.
+        clock: returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        links: link.Links,
+        candidates: collections_abc.Callable[[], list[str]],
+        clock: collections_abc.Callable[[], float],
+    ):
+        self._candidates = candidates
+        self._clock = clock
+        self._limiter = quota.Limiter(links.instance_id, clock())
+        self._counts = dict.fromkeys(
+            ('units_lent', 'units_refused', 'units_returned', 'ignored'), 0
+        )
+        links.serve(LendUnits, self._on_lend_units)
+
+    async def run(self) -> None:
+        """Observe the clock and the known instances until cancelled."""
+        while True:
+            self._observe()
+            await asyncio.sleep(OBSERVE_INTERVAL_S)
+
+    def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
+        """Return the gauges by name."""
+        descriptions = {
+            'units_lent': 'Units lent to entries',
+            'units_refused': 'Units that entries wanted and were not lent',
+            'units_returned': 'Units that entries did not use',
+            'ignored': 'Messages to this limiter that were ignored',
+        }
+        return {
+            f'quota_limiter_{name}': (
+                text,
+                lambda name=name: self._counts[name],
+            )
+            for name, text in descriptions.items()
+        } | {
+            'quota_limiter_buckets': (
+                'Workspaces that this instance limits',
+                lambda: len(self._limiter),
+            )
+        }
+
+    def _observe(self):
+        now_s = self._clock()
+        reason = self._limiter.observe(frozenset(self._candidates()), now_s)
+        if reason:
+            decisions.record('quota_buckets_reset', reason=reason)
+        return now_s
+
+    async def _on_lend_units(self, sender, message):
+        now_s = self._observe()
+        is_valid = _is_valid(message)
+        if not is_valid or not self._limiter.is_responsible(message.workspace):
+            self._counts['ignored'] += 1
+            decisions.record(
+                'quota_message_ignored',
+                entry=sender,
+                workspace=message.workspace,
+                factor='not_limiter' if is_valid else 'malformed',
+            )
+            yield UnitsLent(0, 0.0, 0.0, 0.0, is_limiter=False)
+            return
+        limit = quota.WorkspaceLimit(
+            message.workspace,
+            message.version,
+            message.rate_per_s,
+            message.burst,
+        )
+        self._limiter.settle(
+            limit,
+            sender,
+            message.sequence,
+            message.returned,
+            message.admitted,
+            message.is_changed,
+            now_s,
+        )
+        lease = self._limiter.acquire(limit, message.wanted, now_s)
+        self._counts['units_lent'] += lease.units
+        self._counts['units_refused'] += message.wanted - lease.units
+        self._counts['units_returned'] += message.returned
+        yield UnitsLent(
+            lease.units,
+            lease.retry_after_s,
+            lease.level,
+            lease.spent,
+            lease.wait_s,
+        )
+
+
+def _is_valid(message):
+    return (
+        bool(message.workspace)
+        and math.isfinite(message.rate_per_s)
+        and message.rate_per_s > 0
+        and math.isfinite(message.burst)
+        and message.burst >= 0
+        and 0 <= message.wanted <= MAX_UNITS
+        and message.returned >= 0
+        and message.admitted >= 0
+    )
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -11,6 +11,7 @@
 from balsamdale import metrics
 from balsamdale import quarantine
 from balsamdale import quorum
+from balsamdale import quota
 from balsamdale import routes
 from balsamdale.scheduling import balance
 from balsamdale import wire
@@ -79,6 +80,7 @@
         quarantine: digests of requests that crashed backend servers.
         report_crash: sends a crash report to the peers.
         record_latency: records how long a request took, by its outcome.
+        quota: acquires units of the quotas of workspaces.
     """
 
     table: collections_abc.Callable[[], routes.RouteTable | None]
@@ -93,6 +95,7 @@
     quarantine: quarantine.Quarantine
     report_crash: collections_abc.Callable[[quarantine.ReportCrash], None]
     record_latency: metrics.RecordValue
+    quota: quota.QuotaClient
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,6 +138,7 @@
         reader: reads the events of a streamed response.
         workspace: the workspace of the caller's key; None without one.
         record_ids: ids of its stored turn and account.
+        holds_unit: whether it holds a unit of its workspace's quota.
     """
 
     call: wire.Call
@@ -158,6 +162,7 @@
     )
     workspace: routes.Workspace | None = None
     record_ids: RecordIds = RecordIds('', '', '')
+    holds_unit: bool = False
 
     @property
     def priority(self) -> int:
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -53,14 +53,14 @@
         context = self._context
         started_s = context.clock()
         state = None
-        code, reason = 'ok', ''
+        code, reason, ran = 'ok', '', 'unknown'
         self.in_flight += 1
         try:
             state = self._create_state(call, responder, started_s)
             async with asyncio.timeout_at(state.deadline_s):
                 await self._run(state)
         except errors.Refused as refused:
-            code, reason = refused.code, refused.detail
+            code, reason, ran = refused.code, refused.detail, refused.ran
             await self._refuse(call, responder, refused)
         except TimeoutError:
             code = 'timed_out'
@@ -73,6 +73,8 @@
             raise
         finally:
             self.in_flight -= 1
+            if state is not None:
+                self._give_back_unit(state, ran)
             took_s = context.clock() - started_s
             self._record_outcome(call, state, took_s, code, reason)
 
@@ -113,7 +115,33 @@
             record_ids=request_state.record_ids(call, table, workspace),
         )
 
+    async def _acquire_unit(self, state):
+        """Count a request towards the quota of its workspace.
+
+        Raises:
+            Refused: the workspace is above its quota.
+        """
+        if state.workspace is None or not state.workspace.rate_per_s:
+            return
+        await self._context.quota.acquire(
+            state.workspace, state.call.request_id, state.version
+        )
+        state.holds_unit = True
+        self._record_stage(state, 'quota_s')
+
+    def _give_back_unit(self, state, ran):
+        """Give back the unit of a request that reached no server.
+
+        An attempt that ends without a failure is not counted as delivered,
+        so only a refusal tells that a request with attempts did not run.
+        """
+        was_refused = ran == 'no' and not state.delivered_attempts
+        if state.holds_unit and (was_refused or not state.attempts):
+            state.holds_unit = False
+            self._context.quota.give_back(state.workspace.name)
+
     async def _run(self, state):
+        await self._acquire_unit(state)
         is_budgeted = state.route.is_stream and state.call.budget_tokens
         if state.route.stores_turns or is_budgeted:
             await self._run_turn(state)
