Admit requests of workspaces with few requests while a limiter is silent

A share of the limit is below one unit where a workspace has few requests per entry, so that most requests below the limit were refused until another limiter replaced the silent one. The time without requests after which an entry admits one now depends on the rate, within the allowance.

Tests: tests/scheduling, tests/test_quota.py, tests/test_quota_serving.py, tests/test_workspaces.py.

--- a/balsamdale/scheduling/quota_account.py
+++ b/balsamdale/scheduling/quota_account.py
@@ -16,10 +16,12 @@
 # How late an unused unit may be returned. The limiter's bucket fills
 # meanwhile, so that a late one would raise the sum above the burst.
 MAX_RETURN_DELAY_S = 0.1
-# An entry that has had no request of a workspace for this time, times the
-# number of entries, admits one without its limiter. With Poisson arrivals
-# that is at most 1 / (0.15 e) = 2.5 requests per second over all entries.
-IDLE_PER_ENTRY_S = 0.15
+# Requests per second that all entries together may admit, on top of the limit
+# and of a part of its rate, because they had no recent request each. For 2 s,
+# until another limiter replaces a silent one, and with the units of a new
+# bucket, that is within the 10% and 20 requests of the requirement.
+IDLE_ADMITTED_PER_S = 4.0
+IDLE_ADMITTED_SHARE = 0.2
 
 
 class Account:
@@ -145,10 +147,20 @@
             self.limit,
             fraction,
             min(self.limit.capacity, max(0.0, level)),
-            idle_s > IDLE_PER_ENTRY_S * entry_count,
+            idle_s > _idle_limit_s(self.limit.rate_per_s, entry_count),
             request_id,
             now_s,
         )
         if is_admitted:
             self._admitted += 1
         return is_admitted
+
+
+def _idle_limit_s(rate_per_s, entry_count):
+    """Return the time without requests after which an entry admits one.
+
+    With Poisson arrivals, entries that wait for t seconds admit at most
+    entry_count / (e t) requests per second, whatever the demand.
+    """
+    admitted_per_s = IDLE_ADMITTED_PER_S + IDLE_ADMITTED_SHARE * rate_per_s
+    return entry_count / (math.e * admitted_per_s)
