Name the entry in messages that ask for quota units

Cause: links between instances do not tell a handler who sent a message, so the limiter numbered the messages of all entries together and took the units that one entry returned for a repeated message.

Test: test_units_of_each_entry_are_returned failed before (429 where two units were returned).

--- a/balsamdale/quota.py
+++ b/balsamdale/quota.py
@@ -257,6 +257,7 @@
                 limiter_id, sent_at_s
             )
             message = quota_service.LendUnits(
+                entry_id=self._relay_links.instance_id,
                 workspace=limit.workspace,
                 version=limit.version,
                 rate_per_s=limit.rate_per_s,
--- a/balsamdale/quota_service.py
+++ b/balsamdale/quota_service.py
@@ -29,6 +29,7 @@
     """Asks the limiter of a workspace for units.
 
     Attributes:
+        entry_id: the entry that asks; links do not tell the sender.
         workspace: name of the workspace.
         version: version of the configuration that the limit is from.
         rate_per_s: requests per second.
@@ -40,6 +41,7 @@
         is_changed: whether another instance lent to the entry recently.
     """
 
+    entry_id: str
     workspace: str
     version: int
     rate_per_s: float
@@ -137,14 +139,14 @@
             decisions.record('quota_buckets_reset', reason=reason)
         return now_s
 
-    async def _on_lend_units(self, sender, message):
+    async def _on_lend_units(self, _sender, message):
         now_s = self._observe()
         is_valid = _is_valid(message)
         if not is_valid or not self._limiter.is_responsible(message.workspace):
             self._counts['ignored'] += 1
             decisions.record(
                 'quota_message_ignored',
-                entry=sender,
+                entry=message.entry_id,
                 workspace=message.workspace,
                 factor='not_limiter' if is_valid else 'malformed',
             )
@@ -158,7 +160,7 @@
         )
         self._limiter.settle(
             limit,
-            sender,
+            message.entry_id,
             message.sequence,
             message.returned,
             message.admitted,
@@ -180,7 +182,7 @@
 
 def _is_valid(message):
     return (
-        bool(message.workspace)
+        bool(message.entry_id and message.workspace)
         and math.isfinite(message.rate_per_s)
         and message.rate_per_s > 0
         and math.isfinite(message.burst)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -291,6 +291,7 @@
 def test_malformed_message_changes_nothing(changes):
     async def scenario(fleet):
         fields = {
+            'entry_id': 'e0',
             'workspace': 'w',
             'version': 9,
             'rate_per_s': 1.0,
--- a/tests/test_quota_serving.py
+++ b/tests/test_quota_serving.py
@@ -1,5 +1,8 @@
 """Tests that routed requests are held to the quota of their workspace."""
 
+import asyncio
+
+from balsamdale.scheduling import quota_account
 from tests import routed_site
 from tests import test_workspaces
 
@@ -61,6 +64,31 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_units_of_each_entry_are_returned(tmp_path):
+    async def scenario(deployment):
+        await test_workspaces.configure(deployment, 2, A)
+        headers = {'Api-Key': 'key-a'}
+        # The entry that started last numbers its messages highest.
+        for entry in ('entry-b', 'entry-a'):
+            assert (await deployment.post('/reads/x', entry=entry, **headers))[
+                0
+            ] == 200
+        await asyncio.gather(
+            *(
+                deployment.post_turn(f't{n}', 'missing', **headers)
+                for n in range(2)
+            )
+        )
+        await asyncio.sleep(1.2 * quota_account.REUSE_S)
+        statuses = [
+            (await deployment.post('/reads/x', entry='entry-b', **headers))[0]
+            for _ in range(3)
+        ]
+        assert statuses == [200, 200, 429]
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_quota_holds_while_archives_are_stopped(tmp_path):
     async def scenario(deployment):
         await test_workspaces.configure(deployment, 2, A)
