Decode load reports with a slowdown and ignore malformed ones

Servers may report a fourth value, how long work takes there now. Reports that are malformed or out of range are ignored, counted and logged; a report of digits outside ASCII used to raise an exception.

Tests: tests/platform/test_headers.py.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -262,10 +262,7 @@
         decisions.record('server_recovered', server=server.server_id)
 
     async def _receive_response(self, state, server, response, deliver):
-        if response.metadata.load is not None:
-            self._context.balancer.record_load(
-                server.server_id, response.metadata.load, self._context.clock()
-            )
+        self._record_metadata(state, server, response.metadata)
         if response.metadata.was_not_run:
             await response.body()
             # 421: not the chosen server, but another one at its address.
@@ -286,6 +283,16 @@
         state.status = response.status
         return True
 
+    def _record_metadata(self, state, server, metadata):
+        """Record what a response says about the server itself."""
+        context = self._context
+        if metadata.load is not None:
+            context.balancer.record_load(
+                server.server_id, metadata.load, context.clock()
+            )
+        if metadata.is_load_malformed:
+            context.balancer.ignore_report(server.server_id)
+
     def _retry_or_refuse(self, state, failure):
         """Return False if a request that may have run can be repeated.
 
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -127,6 +127,10 @@
                 'Version in force',
                 lambda: self.table.version if self.table is not None else 0,
             ),
+            'load_reports_ignored': (
+                'Load reports that were malformed or out of range',
+                lambda: self.balancer.reports_ignored,
+            ),
             'servers': (
                 'Backend servers that are known',
                 lambda: len(list(self.directory)),
--- a/balsamdale/platform/headers.py
+++ b/balsamdale/platform/headers.py
@@ -15,6 +15,7 @@
 SIGNATURE = 'X-Server-Seal'
 NOT_EXECUTED = 'X-Not-Executed'
 SERVER_LOAD = 'X-Server-Load'
+SERVER_LEAVING = 'Server-Leaving'
 PROGRAM_ID = 'X-Program-Id'
 PROGRAM_TIME_LEFT = 'X-Finish-Ms'
 TOKEN_BUDGET = 'X-Token-Budget'
@@ -56,7 +57,11 @@
         'X-Expect-Version',
     )
 )
-HIDDEN_FROM_CALLERS = frozenset((SERVER_LOAD.lower(),))
+HIDDEN_FROM_CALLERS = frozenset((SERVER_LOAD.lower(), SERVER_LEAVING.lower()))
+# Bounds of a plausible load report. No server has this many requests, and
+# none is 100 times slower, or 10 times faster, than normal and still serves.
+MAX_REPORTED_REQUESTS = 65536
+SLOWDOWN_PERCENT = range(10, 10001)
 
 
 class PlatformWireFormat(wire.WireFormat):
@@ -118,10 +123,13 @@
     def decode_response(
         self, status: int, headers: collections_abc.Mapping[str, str]
     ) -> wire.ResponseMetadata:
+        load = _parse_load(headers.get(SERVER_LOAD, ''))
         return wire.ResponseMetadata(
             is_signed=SIGNATURE in headers,
             was_not_run=NOT_EXECUTED in headers or status == 421,
-            load=_parse_load(headers.get(SERVER_LOAD, '')),
+            load=load,
+            is_load_malformed=load is None and SERVER_LOAD in headers,
+            is_leaving=headers.get(SERVER_LEAVING, '').strip() == '1',
         )
 
     def response_headers(
@@ -204,7 +212,19 @@
 
 
 def _parse_load(text):
-    parts = text.split(',')
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    """Return the load report; None if it is malformed or out of range."""
+    parts = [part.strip() for part in text.split(',')]
+    if len(parts) not in (3, 4) or not all(map(_is_short_number, parts)):
         return None
-    return wire.LoadReport(*(int(part) for part in parts))
+    running, waiting, slots, *slowdown = map(int, parts)
+    if max(running, waiting, slots) > MAX_REPORTED_REQUESTS or slots < 1:
+        return None
+    if not slowdown:
+        return wire.LoadReport(running, waiting, slots)
+    if slowdown[0] not in SLOWDOWN_PERCENT:
+        return None
+    return wire.LoadReport(running, waiting, slots, slowdown[0] / 100, True)
+
+
+def _is_short_number(text):
+    return text.isascii() and text.isdigit() and len(text) < 10
--- a/balsamdale/scheduling/balance.py
+++ b/balsamdale/scheduling/balance.py
@@ -10,6 +10,7 @@
 import hashlib
 import typing
 
+from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import wire
 
@@ -57,6 +58,7 @@
     reported_at_s: float = 0.0
     own_requests_at_report: int = 0
     is_suspected: bool = False
+    reports_ignored: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,6 +78,9 @@
         failure_domain: failure domain of this instance.
         queued_per_slot: requests that may queue at a server beyond those in
             its slots, as a share of the slots.
+
+    Attributes:
+        reports_ignored: load reports that were malformed or out of range.
     """
 
     def __init__(
@@ -86,6 +91,7 @@
         self._failure_domain = failure_domain
         self._queued_per_slot = queued_per_slot
         self._states: dict[str, _ServerState] = {}
+        self.reports_ignored = 0
 
     def choose(
         self,
@@ -154,6 +160,20 @@
         state.own_requests_at_report = state.in_flight
         state.is_suspected = False
 
+    def ignore_report(self, server_id: str) -> None:
+        """Count a load report that is malformed or out of range."""
+        self.reports_ignored += 1
+        state = self._state(server_id)
+        state.reports_ignored += 1
+        # Logged when the count doubles: a faulty server repeats its report
+        # in each response.
+        if state.reports_ignored.bit_count() == 1:
+            decisions.record(
+                'load_report_ignored',
+                server=server_id,
+                count=state.reports_ignored,
+            )
+
     def mark_suspected(self, server_id: str) -> bool:
         """Mark a server that could not be reached as suspected.
 
--- a/balsamdale/wire.py
+++ b/balsamdale/wire.py
@@ -70,11 +70,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadReport:
-    """A backend server's report of its load."""
+    """A backend server's report of its load.
+
+    Attributes:
+        running: requests in its slots.
+        waiting: requests in its queue.
+        slots: requests that it runs at once.
+        slowdown: how long work takes there now, relative to normal.
+        has_slowdown: whether the server reported a slowdown.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
+    has_slowdown: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,11 +95,15 @@
         is_signed: whether it carries the server's signature.
         was_not_run: whether the server did not run the request.
         load: the reported load; None if it has no valid report.
+        is_load_malformed: whether it has a report that is not valid.
+        is_leaving: whether the server says that it is leaving.
     """
 
     is_signed: bool
     was_not_run: bool
     load: LoadReport | None
+    is_load_malformed: bool = False
+    is_leaving: bool = False
 
 
 class WireFormat(abc.ABC):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -117,6 +117,45 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('text', 'slowdown', 'has_slowdown'),
+    [('3,0,8', 1.0, False), ('3, 0,8, 250', 2.5, True), ('0,9,1,10', 0.1, 1)],
+)
+def test_load_report_has_three_or_four_values(text, slowdown, has_slowdown):
+    metadata = WIRE_FORMAT.decode_response(200, {'X-Server-Load': text})
+    assert metadata.load.slowdown == slowdown
+    assert metadata.load.has_slowdown == has_slowdown
+    assert not metadata.is_load_malformed
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        *('', 'x', '1,2', '1,0,8,100,1', '-1,0,8', '1,-1,8,100', '1,0,0,100'),
+        *('1,0,0', '1,0,8,', '1,0,8,1.5', '1,0,8,nan', '1,0,8,-100'),
+        *('1,0,8,0', '1,0,8,99999', '1,0,70000', '\u00b2,0,8', '9' * 5000),
+        '1,0,8,' + '9' * 5000,
+    ],
+)
+def test_malformed_load_report_is_ignored_and_counted(text):
+    """A report that raised, or placed work by nonsense, would do harm."""
+    metadata = WIRE_FORMAT.decode_response(200, {'X-Server-Load': text})
+    assert metadata.load is None
+    assert metadata.is_load_malformed
+
+
+@pytest.mark.parametrize(
+    ('value', 'is_leaving'), [('1', True), ('0', False), ('yes', False)]
+)
+def test_leaving_server_says_so(value, is_leaving):
+    response_headers = {'Server-Leaving': value}
+    metadata = WIRE_FORMAT.decode_response(200, response_headers)
+    assert metadata.is_leaving == is_leaving
+    assert not WIRE_FORMAT.decode_response(200, {}).is_leaving
+    assert not WIRE_FORMAT.decode_response(200, {}).is_load_malformed
+    assert WIRE_FORMAT.response_headers(response_headers) == []
+
+
 def test_refusal_says_when_to_come_back():
     refused = errors.Refused('no_room', 503, '', 'no', 0.25)
     assert ('Retry-After', '0.250') in WIRE_FORMAT.refusal_headers(
