Send no request to a server that says it is leaving

A server whose response carries Server-Leaving is taken out of the ready servers at once, before its registration changes, and the other entries are notified. Only a registration with another start time ends this.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -11,6 +11,7 @@
 
 from balsamdale import background
 from balsamdale import decisions
+from balsamdale import discovery
 from balsamdale import errors
 from balsamdale import exchange
 from balsamdale import quarantine
@@ -262,7 +263,7 @@
         decisions.record('server_recovered', server=server.server_id)
 
     async def _receive_response(self, state, server, response, deliver):
-        self._record_metadata(state, server, response.metadata)
+        self._record_metadata(server, response.metadata)
         if response.metadata.was_not_run:
             await response.body()
             # 421: not the chosen server, but another one at its address.
@@ -283,7 +284,7 @@
         state.status = response.status
         return True
 
-    def _record_metadata(self, state, server, metadata):
+    def _record_metadata(self, server, metadata):
         """Record what a response says about the server itself."""
         context = self._context
         if metadata.load is not None:
@@ -292,6 +293,12 @@
             )
         if metadata.is_load_malformed:
             context.balancer.ignore_report(server.server_id)
+        if metadata.is_leaving and context.directory.mark_leaving(
+            server.server_id, server.started_ms
+        ):
+            context.report_leaving(
+                discovery.ReportLeaving(server.server_id, server.started_ms)
+            )
 
     def _retry_or_refuse(self, state, failure):
         """Return False if a request that may have run can be repeated.
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -63,7 +63,9 @@
         )
         self.http_client = exchange.HttpClient(platform_adapter.wire_format)
         self.quarantine = quarantine.Quarantine(QUARANTINE_CRASH_LIMIT)
+        self.reports_ignored = 0
         self.links.serve(quarantine.ReportCrash, self._on_crash)
+        self.links.serve(discovery.ReportLeaving, self._on_leaving)
         self.handler = serving.RequestHandler(
             request_state.Context(
                 table=lambda: self.table,
@@ -76,7 +78,8 @@
                 wall_clock=clocks.wall,
                 account_retention_s=settings.account_retention_s,
                 quarantine=self.quarantine,
-                report_crash=self._broadcast_crash,
+                report_crash=self._broadcast,
+                report_leaving=self._broadcast,
                 record_latency=self.metrics.add_histogram(
                     'balsamdale_request_seconds',
                     'Time from a request to the end of its answer',
@@ -131,6 +134,14 @@
                 'Load reports that were malformed or out of range',
                 lambda: self.balancer.reports_ignored,
             ),
+            'leaving_reports_ignored': (
+                'Reports of leaving servers that were out of range',
+                lambda: self.reports_ignored,
+            ),
+            'servers_leaving': (
+                'Registered servers that are leaving',
+                self.directory.count_leaving,
+            ),
             'servers': (
                 'Backend servers that are known',
                 lambda: len(list(self.directory)),
@@ -161,11 +172,11 @@
         )
         return is_configured and not self.member_directory.is_leaving
 
-    def _broadcast_crash(self, report):
+    def _broadcast(self, report):
         for peer_id in self.member_directory.entry_peers():
-            self._background.spawn(self._send_crash_report(peer_id, report))
+            self._background.spawn(self._send_report(peer_id, report))
 
-    async def _send_crash_report(self, peer_id, message):
+    async def _send_report(self, peer_id, message):
         try:
             await self.links.request(peer_id, message)
         except errors.LinkError as error:
@@ -175,6 +186,19 @@
         self.quarantine.report(message.digest, message.crash_id)
         yield members.Heard()
 
+    async def _on_leaving(self, _sender, message):
+        # Not passed on: whoever learned it from the server told all entries.
+        if message.is_valid():
+            self.directory.mark_leaving(message.server_id, message.started_ms)
+        else:
+            self.reports_ignored += 1
+            decisions.record(
+                'leaving_report_ignored',
+                server=message.server_id[:80],
+                count=self.reports_ignored,
+            )
+        yield members.Heard()
+
     def _addresses(self, failure_domain):
         return registry.addresses(
             self.member_directory.entries(), failure_domain
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -78,6 +78,7 @@
             the program's deadline and the retention of its turns.
         quarantine: digests of requests that crashed backend servers.
         report_crash: sends a crash report to the peers.
+        report_leaving: tells the other entries that a server is leaving.
         record_latency: records how long a request took, by its outcome.
     """
 
@@ -92,6 +93,7 @@
     account_retention_s: float
     quarantine: quarantine.Quarantine
     report_crash: collections_abc.Callable[[quarantine.ReportCrash], None]
+    report_leaving: collections_abc.Callable[[discovery.ReportLeaving], None]
     record_latency: metrics.RecordValue
 
 
--- a/standins/routed.py
+++ b/standins/routed.py
@@ -23,6 +23,9 @@
     `break_after` closes a stream after that event, `break_every` after each
     event with a multiple of that number; with `cut_event`, in the middle of
     the event that follows.
+    `slowdown` is the fourth value of the load header, which has three
+    without it; `is_leaving` adds the header of a leaving server.
+    `fail` is how many of the next requests get a response of status 500.
     """
 
     delay_s: float = 0.0
@@ -33,6 +36,9 @@
     break_after: int = 0
     break_every: int = 0
     cut_event: bool = False
+    slowdown: int = 0
+    is_leaving: bool = False
+    fail: int = 0
 
 
 class RoutedServer:
@@ -66,6 +72,10 @@
             'X-Request-Id': request_id,
             'X-Server-Load': f'{self.running},0,{self.slots}',
         }
+        if self.switches.slowdown:
+            headers['X-Server-Load'] += f',{self.switches.slowdown}'
+        if self.switches.is_leaving:
+            headers['Server-Leaving'] = '1'
         if request.headers['X-Expect-Instance'] != self.server_id:
             return web.Response(status=421, headers=headers)
         if self.switches.refuse:
@@ -93,6 +103,9 @@
             self.switches.drop -= 1
             request.transport.abort()
             return web.Response()
+        if self.switches.fail:
+            self.switches.fail -= 1
+            return web.Response(status=500, headers=headers)
         if 'X-Token-Usage' not in request.headers:
             return web.Response(body=b'done ' + body, headers=headers)
         response = web.StreamResponse(headers=headers)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,6 +1,10 @@
 """Tests of the directory of backend servers."""
 
+import pytest
+
+from balsamdale import codec
 from balsamdale import discovery
+from balsamdale import errors
 from tests import builders_routed as builders
 
 
@@ -43,3 +47,52 @@
     directory.put(builders.server('x'))
     directory.expire(99.0)
     assert names(directory) == {'x'}
+
+
+def test_leaving_server_is_out_until_it_has_another_start():
+    """Its registration may stay, or come again after a lease expired."""
+    directory = discovery.Directory()
+    leaving = builders.server('x', started_ms=5)
+    directory.put(leaving)
+    assert names(directory) == {'x'}
+    assert directory.mark_leaving('x', 5)
+    assert not directory.mark_leaving('x', 5)
+    assert names(directory) == set()
+    assert directory.count_leaving() == 1
+    directory.put(builders.server('x', started_ms=5, warm_up_s=1.0))
+    assert names(directory) == set()
+    directory.remove('x', 0.0, is_tentative=False)
+    directory.put(leaving)
+    assert names(directory) == set()
+    directory.put(builders.server('x', started_ms=6))
+    assert names(directory) == {'x'}
+    assert not directory.is_current(leaving)
+
+
+def test_late_report_does_not_concern_a_restarted_server():
+    directory = discovery.Directory()
+    directory.put(builders.server('x', started_ms=6))
+    assert directory.mark_leaving('x', 5)
+    assert names(directory) == {'x'}
+
+
+def test_report_that_comes_before_the_registration_holds():
+    directory = discovery.Directory()
+    assert directory.mark_leaving('x', 5)
+    directory.put(builders.server('x', started_ms=5))
+    assert names(directory) == set()
+
+
+@pytest.mark.parametrize(
+    'fields', [(1, 5), ('x', '5'), ('x', 5.5), ('x', None), ('x',), ()]
+)
+def test_malformed_leaving_report_cannot_be_decoded(fields):
+    frame = codec.encode(discovery.ReportLeaving(*(*fields, None, None)[:2]))
+    with pytest.raises(errors.UnknownMessage):
+        codec.decode(frame)
+
+
+def test_leaving_report_out_of_range_is_not_valid():
+    reports = [('', 5), ('x', -1), ('x' * 300, 5)]
+    assert not any(discovery.ReportLeaving(*r).is_valid() for r in reports)
+    assert discovery.ReportLeaving('x', 0).is_valid()
