Reject registrations that are out of range or nested too deeply

Ports of digits outside ASCII, long ports, deep nesting and unprintable server ids raised exceptions other than ValidationFailed; absurd slots and negative start times were taken in.

Tests: tests/platform/test_records.py, tests/test_node.py.

--- a/balsamdale/platform/records.py
+++ b/balsamdale/platform/records.py
@@ -12,6 +12,9 @@
 
 __all__ = ['decode_server', 'decode_table']
 
+# Slots of a plausible server; with more, it would count as always free.
+MAX_SLOTS = 65536
+
 KIND_STREAMING = 'streaming'
 KIND_IDEMPOTENT = 'idempotent'
 
@@ -128,7 +131,7 @@
         ValidationFailed: the registration is malformed or unusable.
     """
     record = _decode(_SERVER, value, server_id)
-    problem = _find_problem(record)
+    problem = _find_problem(server_id, record)
     if problem:
         raise errors.ValidationFailed(
             [findings.Finding(server_id, 0, *problem)]
@@ -148,13 +151,19 @@
 def _decode(decoder, value, source):
     try:
         return decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (
+        msgspec.MsgspecError,
+        RecursionError,
+        UnicodeDecodeError,
+    ) as error:
         finding = findings.Finding(source, 0, '', str(error))
         raise errors.ValidationFailed([finding]) from error
 
 
-def _find_problem(record):
+def _find_problem(server_id, record):
     """Return the key and a message if a registration is unusable."""
+    if not server_id or not server_id.isprintable():
+        return '', f'{server_id!r} is not the id of a server'
     if record.state not in ('ready', 'draining'):
         return 'state', f'{record.state!r} is neither ready nor draining'
     host, _, port = record.address.rpartition(':')
@@ -162,10 +171,13 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return 'address', f'{record.address!r} is not an IP number and port'
-    if not port.isdigit() or not 0 < int(port) < 65536:
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not is_number or not 0 < int(port) < 65536:
         return 'address', f'{record.address!r} has no valid port'
-    if record.slots < 1 or not math.isfinite(record.cold_left_ms):
-        return 'slots', 'slots must be above 0 and cold_left_ms finite'
+    if not 0 < record.slots <= MAX_SLOTS:
+        return 'slots', f'{record.slots} is not from 1 to {MAX_SLOTS}'
+    if not math.isfinite(record.cold_left_ms) or record.born < 0:
+        return 'born', 'cold_left_ms must be finite and born not negative'
     return None
 
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -59,6 +59,19 @@
         encode_server(born='x'),
         encode_server(cold_left_ms='x'),
         encode_server(seq=()),
+        *(encode_server(**{key: ()}) for key in ('service', 'zone', 'slots')),
+        *(encode_server(**{key: []}) for key in ('service', 'state', 'born')),
+        encode_server(state=()),
+        encode_server(state='Ready'),
+        encode_server(slots=10**30),
+        encode_server(slots=1e400),
+        encode_server(born=-1),
+        encode_server(cold_left_ms=float('nan')),
+        encode_server(address='10.0.0.9:\u00b2'),
+        encode_server(address='10.0.0.9:' + '9' * 5000),
+        encode_server()[:-1],
+        encode_server() + b'x',
+        b'{"odd":' + b'[' * 100000 + b']' * 100000 + b'}',
     ],
 )
 def test_entry_that_names_no_server(value):
@@ -66,6 +79,12 @@
         records.decode_server('i-1', value)
 
 
+@pytest.mark.parametrize('server_id', ['', 'a\r\nb'])
+def test_key_that_names_no_server(server_id):
+    with pytest.raises(errors.ValidationFailed):
+        records.decode_server(server_id, encode_server())
+
+
 def test_configuration_is_decoded():
     table = records.decode_table(
         builders.configuration(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -536,6 +536,33 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_unusable_registration_removes_only_its_own_server(tmp_path):
+    async def scenario(deployment):
+        entry = deployment.nodes['entry-a']
+        address = _address(deployment, 'plain-1')
+        for changes in (
+            {'state': 'parked'},
+            {'slots': None},
+            {'address': [1]},
+            {'born': 'now'},
+        ):
+            deployment.register('plain-1', 'plain', address, **changes)
+            await deployment.wait_until(
+                lambda: (
+                    [s.server_id for s in entry.directory.ready('plain')]
+                    == ['plain-2']
+                )
+            )
+            assert (await deployment.post('/reads/x'))[0] == 200
+            deployment.register('plain-1', 'plain', address)
+            await deployment.wait_until(
+                lambda: len(entry.directory.ready('plain')) == 2
+            )
+        assert len(entry.directory.ready('engines')) == 2
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_server_removed_after_an_outage_is_dropped_at_once(tmp_path):
     async def scenario(deployment):
         entry = deployment.nodes['entry-a']
