--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -543,7 +543,7 @@
         for changes in (
             {'state': 'parked'},
             {'slots': None},
-            {'address': [1]},
+            {'zone': [1]},
             {'born': 'now'},
         ):
             deployment.register('plain-1', 'plain', address, **changes)
