Place requests by expected finish where servers report a slowdown

Servers of one service differ in speed by a factor of two, so an equal load per slot makes the requests of the slowest late. The balancer compares the expected time to finish, from learned speeds, the queue, the latest slowdown, the prefill and the failure domain, and ejects servers whose requests fail. Services whose servers report three values keep the rule of load.

--- a/balsamdale/scheduling/balance.py
+++ b/balsamdale/scheduling/balance.py
@@ -3,15 +3,22 @@
 It does no I/O and takes the present time as an argument. A program's
 requests go to the server whose prefix cache is most likely warm, unless the
 cost of that server's load exceeds the cost of a cache miss elsewhere.
+
+Where a server of the service has reported a slowdown, the cost is the
+expected time to finish, and servers are judged by the outcomes of requests;
+see `finish_time` and `outliers` for the load patterns.
 """
 
 from collections import abc as collections_abc
 import dataclasses
 import hashlib
+import heapq
 import typing
 
 from balsamdale import decisions
 from balsamdale import discovery
+from balsamdale.scheduling import finish_time
+from balsamdale.scheduling import outliers
 from balsamdale import wire
 
 __all__ = ['Balancer', 'Choice', 'Outcome']
@@ -52,6 +59,7 @@
     """Load and health of a server as seen by this instance."""
 
     started_ms: int = 0
+    service: str = ''
     in_flight: int = 0
     held_tokens: int = 0
     report: wire.LoadReport | None = None
@@ -63,12 +71,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
-    """A chosen server with its load, its cost and the age of its report."""
+    """A chosen server, and what it was chosen by.
+
+    Attributes:
+        server: the server.
+        load: requests there.
+        cost: its cost: a share of its slots, or the expected time to finish
+            in seconds where a server of the service reports a slowdown.
+        report_age_s: age of its load report.
+        factor: in what it was better than the next best server.
+    """
 
     server: discovery.Server
     load: float
     cost: float
     report_age_s: float
+    factor: str = 'load'
 
 
 class Balancer:
@@ -81,6 +99,7 @@
 
     Attributes:
         reports_ignored: load reports that were malformed or out of range.
+        outliers: the servers that are ejected for their failures.
     """
 
     def __init__(
@@ -91,6 +110,8 @@
         self._failure_domain = failure_domain
         self._queued_per_slot = queued_per_slot
         self._states: dict[str, _ServerState] = {}
+        self._speeds = finish_time.Speeds()
+        self.outliers = outliers.OutlierDetector()
         self.reports_ignored = 0
 
     def choose(
@@ -99,6 +120,11 @@
         affinity: str,
         excluded: collections_abc.Set[str],
         now_s: float,
+        *,
+        prompt_tokens: int = 0,
+        tokens: int = 0,
+        memory_tokens: int = 0,
+        is_retryable: bool = False,
     ) -> Choice | None:
         """Return the cheapest server with capacity, or None if all are full.
 
@@ -107,13 +133,40 @@
             affinity: key that selects the preferred server; empty for none.
             excluded: ids of servers that must not be chosen.
             now_s: the present time.
+            prompt_tokens: tokens of the prompt.
+            tokens: tokens that the request needs at the server: those of the
+                prompt and the answer.
+            memory_tokens: tokens that a server can hold; 0 if unknown. A
+                server has no capacity if the request would exceed them.
+            is_retryable: whether the request may be sent again if it fails,
+                so that it may go to a server that has failed before.
         """
+        servers = tuple(servers)
         allowed = [s for s in servers if s.server_id not in excluded]
-        healthy = [
+        candidates = [
             s for s in allowed if not self._current_state(s).is_suspected
-        ]
-        evaluated = (self._evaluate(s, now_s) for s in healthy or allowed)
-        choices = [choice for choice in evaluated if choice is not None]
+        ] or allowed
+        choices = self._with_capacity(candidates, now_s, tokens, memory_tokens)
+        if self.reports_slowdown(servers):
+            ejected = self.outliers.ejected(
+                servers[0].service, [s.server_id for s in servers], now_s
+            )
+            if is_retryable:
+                for choice in choices:
+                    server_id = choice.server.server_id
+                    if server_id in ejected and self.outliers.is_probe_due(
+                        server_id, now_s
+                    ):
+                        return dataclasses.replace(choice, factor='probe')
+            # Ejected servers are better than none.
+            if not ejected.issuperset(s.server_id for s in candidates):
+                choices = [
+                    c for c in choices if c.server.server_id not in ejected
+                ]
+            work = finish_time.Work(
+                max(0, prompt_tokens), max(0, tokens - prompt_tokens)
+            )
+            return self._soonest(choices, servers, affinity, work, now_s)
         if not choices:
             return None
         if affinity:
@@ -128,8 +181,18 @@
             ]
         return min(choices, key=lambda c: (c.cost, c.server.server_id))
 
+    def reports_slowdown(
+        self, servers: collections_abc.Iterable[discovery.Server]
+    ) -> bool:
+        """Return whether one of the servers of a service does."""
+        states = (self._current_state(server) for server in servers)
+        return any(
+            s.report is not None and s.report.has_slowdown for s in states
+        )
+
     def add_request(self, server_id: str, tokens: int = 0) -> None:
         """Count a request and its tokens as in flight at a server."""
+        self.outliers.start_probe(server_id)
         state = self._state(server_id)
         state.in_flight += 1
         state.held_tokens += tokens
@@ -148,7 +211,23 @@
     def record_outcome(
         self, server_id: str, outcome: Outcome, now_s: float
     ) -> None:
-        """Record how an attempt at a server ended."""
+        """Record how an attempt at a server ended.
+
+        A request that a server refused without running it says nothing of
+        its health.
+        """
+        service = self._state(server_id).service
+        if outcome.kind == 'not_run' or not service:
+            return
+        is_failure = outcome.kind != 'ok'
+        if not is_failure:
+            work = finish_time.Work(
+                outcome.prompt_tokens, outcome.answer_tokens
+            )
+            is_failure = self._speeds.record(
+                service, server_id, work, outcome.took_s
+            )
+        self.outliers.record(service, server_id, is_failure, now_s)
 
     def record_load(
         self, server_id: str, load: wire.LoadReport, now_s: float
@@ -159,6 +238,8 @@
         state.reported_at_s = now_s
         state.own_requests_at_report = state.in_flight
         state.is_suspected = False
+        if load.has_slowdown:
+            self._speeds.record_slowdown(server_id, load.slowdown)
 
     def ignore_report(self, server_id: str) -> None:
         """Count a load report that is malformed or out of range."""
@@ -201,6 +282,8 @@
             for name, state in self._states.items()
             if name in registered or state.in_flight
         }
+        self._speeds.remove_departed(registered)
+        self.outliers.remove_departed(registered)
 
     def estimate_load(self, server: discovery.Server, now_s: float) -> float:
         """Estimate the requests at a server, including this instance's.
@@ -219,13 +302,72 @@
         )
 
     def _current_state(self, server):
-        """Return a server's state; a restart resets all but `in_flight`."""
+        """Return a server's state; a restart resets all but what it holds.
+
+        Requests to the server before its restart end soon, and are then
+        subtracted.
+        """
         state = self._state(server.server_id)
         if state.started_ms != server.started_ms:
-            state = _ServerState(server.started_ms, state.in_flight)
+            state = _ServerState(
+                server.started_ms,
+                in_flight=state.in_flight,
+                held_tokens=state.held_tokens,
+            )
             self._states[server.server_id] = state
+            self._speeds.reset(server.server_id)
+            self.outliers.reset(server.server_id)
+        state.service = server.service
         return state
 
+    def _with_capacity(self, servers, now_s, tokens, memory_tokens):
+        """Return a choice for each server that has capacity."""
+        evaluated = (
+            self._evaluate(server, now_s)
+            for server in servers
+            if not memory_tokens
+            or self._state(server.server_id).held_tokens + tokens
+            <= memory_tokens
+        )
+        return [choice for choice in evaluated if choice is not None]
+
+    def _soonest(self, choices, servers, affinity, work, now_s):
+        """Return the choice with the earliest expected finish, or None."""
+        if not choices:
+            return None
+        preferred_id = ''
+        if affinity:
+            preferred_id = self._preferred_server_id(
+                affinity, [c.server for c in choices]
+            )
+        estimator = self._speeds.estimator(
+            servers[0].service, [s.server_id for s in servers], work, now_s
+        )
+        finishes = {}
+        for choice in choices:
+            server = choice.server
+            state = self._state(server.server_id)
+            slowdown = state.report.slowdown if state.report else 1.0
+            finishes[server.server_id] = estimator.expected_finish(
+                server.server_id,
+                max(1, server.slots),
+                choice.load,
+                (slowdown, choice.report_age_s),
+                bool(affinity) and server.server_id != preferred_id,
+                server.failure_domain != self._failure_domain,
+            )
+        ranked = heapq.nsmallest(
+            2,
+            choices,
+            key=lambda c: (
+                finishes[c.server.server_id].total_s,
+                c.server.server_id,
+            ),
+        )
+        best, *others = (finishes[c.server.server_id] for c in ranked)
+        factor = best.deciding_factor(others[0]) if others else 'only'
+        return dataclasses.replace(ranked[0], cost=best.total_s, factor=factor)
+
     def _evaluate(self, server, now_s):
         state = self._current_state(server)
         slots = max(1, server.slots)
--- /dev/null
+++ b/tests/scheduling/test_finish_time.py
@@ -0,0 +1,224 @@
+"""Tests of placement by the expected time to finish."""
+
+import math
+import random
+
+import pytest
+
+from balsamdale.scheduling import balance
+from balsamdale import wire
+from tests import builders_routed as builders
+from tests.scheduling import replay
+
+NOW_S = 100.0
+SPEEDS = (0.55, 1.2, 0.8, 0.55, 1.1, 0.7, 0.9, 1.2)
+
+
+def report(balancer, name, running=0, slowdown=1.0, now_s=NOW_S, slots=4):
+    load = wire.LoadReport(running, 0, slots, slowdown, True)
+    balancer.record_load(name, load, now_s)
+
+
+def timed_balancer(names='xy', **changes):
+    """Return a balancer and servers that report a slowdown."""
+    balancer = balance.Balancer('a')
+    servers = [builders.server(name, **changes) for name in names]
+    balancer.choose(servers, '', frozenset(), NOW_S)
+    for name in names:
+        report(balancer, name)
+    return balancer, servers
+
+
+def choose(balancer, servers, affinity='', now_s=NOW_S, **work):
+    return balancer.choose(servers, affinity, frozenset(), now_s, **work)
+
+
+def chosen_id(*args, **options):
+    return choose(*args, **options).server.server_id
+
+
+def learn(balancer, name, took_s, count=20, now_s=NOW_S, kind='ok'):
+    for _ in range(count):
+        outcome = balance.Outcome(kind, took_s, 1000, 100)
+        balancer.record_outcome(name, outcome, now_s)
+
+
+def late_share(has_slowdown, limit_s=0.7):
+    """Replay demand that swings over servers of different speeds."""
+    simulated = replay.servers(SPEEDS)
+    times = [
+        took_s
+        for sent_s, took_s, _, _ in replay.run(simulated, 70, 30, has_slowdown)
+        if sent_s > 5
+    ]
+    return sum(took_s > limit_s for took_s in times) / len(times)
+
+
+def test_swinging_demand_over_unequal_servers_is_late_less_often():
+    by_load, by_finish = late_share(False), late_share(True)
+    assert by_load > 0.02
+    assert by_finish < by_load / 4
+
+
+def test_faster_server_is_chosen_and_a_new_one_counts_as_median():
+    balancer, servers = timed_balancer('uvw')
+    learn(balancer, 'u', 0.4)
+    learn(balancer, 'v', 0.8)
+    choice = choose(balancer, servers, tokens=100)
+    assert (choice.server.server_id, choice.factor) == ('u', 'run')
+    balancer.add_request('u')
+    balancer.add_request('u')
+    balancer.add_request('u')
+    balancer.add_request('u')
+    assert chosen_id(balancer, servers, tokens=100) == 'w'
+
+
+def test_learned_speed_is_bounded():
+    balancer, servers = timed_balancer('uvw')
+    learn(balancer, 'u', 0.001)
+    learn(balancer, 'v', 0.4)
+    learn(balancer, 'w', 0.4)
+    cost = choose(balancer, servers, tokens=100).cost
+    assert cost == pytest.approx(0.4 / 4)
+    learn(balancer, 'u', math.nan, kind='ok')
+    assert choose(balancer, servers, tokens=100).cost == pytest.approx(0.1)
+
+
+def test_slowdown_weighs_less_with_its_age():
+    balancer, servers = timed_balancer()
+    report(balancer, 'x', slowdown=8.0)
+    assert chosen_id(balancer, servers) == 'y'
+    balancer.add_request('y')
+    assert chosen_id(balancer, servers) == 'y'
+    assert chosen_id(balancer, servers, now_s=NOW_S + 1.0) == 'x'
+
+
+def test_program_stays_until_another_server_gains_more_than_the_prefill():
+    balancer, servers = timed_balancer()
+    for name in ('x', 'y') * 20:
+        learn(balancer, name, 0.4, count=1)
+        report(balancer, name)
+    work = {'prompt_tokens': 27000, 'tokens': 27100}
+    preferred_id = chosen_id(balancer, servers, 'p', **work)
+    report(balancer, preferred_id, slowdown=1.2)
+    assert chosen_id(balancer, servers, 'p', **work) == preferred_id
+    report(balancer, preferred_id, slowdown=1.5)
+    other_id = chosen_id(balancer, servers, 'p', **work)
+    assert other_id != preferred_id
+    work = {'prompt_tokens': 270000, 'tokens': 270100}
+    assert chosen_id(balancer, servers, 'p', **work) == preferred_id
+
+
+def test_request_leaves_its_domain_only_to_gain_time():
+    balancer = balance.Balancer('a')
+    servers = [
+        builders.server('local'),
+        builders.server('far', failure_domain='b'),
+    ]
+    report(balancer, 'local')
+    choice = choose(balancer, servers)
+    assert (choice.server.server_id, choice.factor) == ('local', 'domain')
+    report(balancer, 'local', running=4)
+    choice = choose(balancer, servers)
+    assert (choice.server.server_id, choice.factor) == ('far', 'queue')
+
+
+def test_server_without_memory_for_a_request_has_no_capacity():
+    """A server that holds more tokens than its memory crashes."""
+    balancer, servers = timed_balancer('x')
+    balancer.add_request('x', 60)
+    fits = {'tokens': 40, 'memory_tokens': 100}
+    assert choose(balancer, servers, **fits) is not None
+    assert choose(balancer, servers, tokens=41, memory_tokens=100) is None
+    assert choose(balancer, servers, tokens=41) is not None
+    balancer.set_held('x', 1, 61)
+    assert choose(balancer, servers, **fits) is None
+    balancer.set_held('x', 0, 0)
+    assert choose(balancer, servers, **fits) is not None
+
+
+@pytest.mark.parametrize('kind', ['failed', 'silent'])
+def test_server_whose_requests_fail_is_ejected(kind):
+    balancer, servers = timed_balancer('uvw')
+    learn(balancer, 'u', 0.1, count=4, kind=kind)
+    for _ in range(8):
+        name = chosen_id(balancer, servers)
+        assert name != 'u'
+        balancer.add_request(name)
+    later_s = NOW_S + 2.0
+    assert chosen_id(balancer, servers, now_s=later_s) != 'u'
+    probe = choose(balancer, servers, now_s=later_s, is_retryable=True)
+    assert (probe.server.server_id, probe.factor) == ('u', 'probe')
+    balancer.add_request('u')
+    assert chosen_id(balancer, servers, now_s=later_s, is_retryable=1) != 'u'
+
+
+def test_server_that_is_8_times_slow_is_ejected():
+    balancer, servers = timed_balancer('uvw')
+    for name in 'uvw':
+        learn(balancer, name, 0.2)
+    choose(balancer, servers, tokens=100)
+    learn(balancer, 'u', 1.6, count=3)
+    choose(balancer, servers)
+    assert balancer.outliers.count_ejected() == 1
+
+
+def test_refusals_that_prove_no_run_eject_no_server():
+    balancer, servers = timed_balancer()
+    learn(balancer, 'x', 0.01, count=20, kind='not_run')
+    choose(balancer, servers)
+    assert balancer.outliers.count_ejected() == 0
+
+
+def test_restarted_server_has_no_load_outcomes_or_ejection():
+    """Requests to it before the restart are still subtracted once."""
+    balancer, servers = timed_balancer('uvw')
+    balancer.add_request('u', 50)
+    learn(balancer, 'u', 0.1, count=4, kind='failed')
+    learn(balancer, 'v', 0.4)
+    report(balancer, 'u', running=4, slowdown=50.0)
+    choose(balancer, servers)
+    assert balancer.outliers.count_ejected() == 1
+    servers[0] = builders.server('u', started_ms=9)
+    choose(balancer, servers)
+    assert balancer.outliers.count_ejected() == 0
+    balancer.remove_request('u', 50)
+    assert balancer.estimate_load(servers[0], NOW_S) == 0
+    assert choose(balancer, servers, tokens=5, memory_tokens=5) is not None
+    assert chosen_id(balancer, servers) == 'u'
+
+
+def test_three_valued_reports_keep_the_rule_of_load_figure_by_figure():
+    """Outcomes, tokens and failures must not change earlier deployments."""
+    generator = random.Random(3)
+    plain, informed = balance.Balancer('a'), balance.Balancer('a')
+    servers = [
+        builders.server(f's{n}', slots=8, failure_domain='ab'[n % 2])
+        for n in range(6)
+    ]
+    for step in range(400):
+        now_s = NOW_S + step * 0.05
+        affinity = generator.choice(('', 'p', 'q'))
+        choice = plain.choose(servers, affinity, frozenset(), now_s)
+        assert choice == informed.choose(
+            servers,
+            affinity,
+            frozenset(),
+            now_s,
+            prompt_tokens=14000,
+            tokens=14100,
+            is_retryable=True,
+        )
+        if choice is None:
+            continue
+        name = choice.server.server_id
+        load = wire.LoadReport(generator.randrange(9), 0, 8)
+        for balancer in (plain, informed):
+            balancer.add_request(name)
+            balancer.record_load(name, load, now_s)
+            if step % 3:
+                balancer.remove_request(name)
+        kind = generator.choice(('ok', 'failed', 'silent'))
+        learn(informed, name, generator.random(), 1, now_s, kind)
+    assert informed.outliers.count_ejected() == 0
+    assert plain.reports_slowdown(servers) is False
