Record outcomes of attempts and limit retries by a budget

Each attempt tells the balancer how it ended, without the time that a caller took to read. Retries are at most a fifth of an entry's recent requests where servers report a slowdown, so that a burst is not sent up to four times.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -14,9 +14,11 @@
 from balsamdale import discovery
 from balsamdale import errors
 from balsamdale import exchange
+from balsamdale import outcomes
 from balsamdale import quarantine
 from balsamdale import request_state
 from balsamdale.scheduling import balance
+from balsamdale.scheduling import retry_budget
 
 __all__ = ['CALLER_RETRY_AFTER_S', 'Attempts', 'unknown_key_refusal']
 
@@ -44,11 +46,15 @@
 
     Args:
         context: the parts of the instance that requests are served with.
+
+    Attributes:
+        retry_budget: limits the retries of this instance.
     """
 
     def __init__(self, context: request_state.Context):
         self._context = context
         self._background = background.BackgroundTasks('attempts')
+        self.retry_budget = retry_budget.RetryBudget()
 
     def choose(
         self,
@@ -62,11 +68,20 @@
             affinity = state.call.affinity
         elif state.route.is_sticky:
             affinity = state.call.object_key
-        return self._context.balancer.choose(
-            self._context.directory.ready(state.service.name),
+        servers = self._context.directory.ready(state.service.name)
+        balancer = self._context.balancer
+        if not balancer.reports_slowdown(servers):
+            return balancer.choose(servers, affinity, excluded, now_s)
+        return balancer.choose(
+            servers,
             affinity,
             excluded,
             now_s,
+            prompt_tokens=state.call.prompt_tokens,
+            tokens=outcomes.held_tokens(state),
+            memory_tokens=state.service.memory_tokens,
+            is_retryable=_may_repeat(state)
+            and state.delivered_attempts + 1 < state.route.attempt_limit,
         )
 
     def capacity_refusal(
@@ -107,6 +122,7 @@
                 choice is None
                 or is_limit_reached
                 or state.attempts >= ATTEMPT_LIMIT
+                or not self._is_within_budget(state)
             ):
                 raise self._no_server_refusal(state)
             if timeout_s < MIN_ATTEMPT_TIME_S:
@@ -115,11 +131,34 @@
             excluded.add(choice.server.server_id)
             state.load = choice.load
             state.report_age_s = choice.report_age_s
+            state.chosen_by = choice.factor
             if await self._attempt(
                 state, choice.server, body, timeout_s, deliver
             ):
                 return
 
+    def _is_within_budget(self, state):
+        """Count an attempt; return whether the retry budget allows it.
+
+        Only services whose servers report a slowdown are limited.
+        """
+        context, now_s = self._context, self._context.clock()
+        servers = context.directory.ready(state.service.name)
+        if not context.balancer.reports_slowdown(servers):
+            return True
+        if not state.attempts:
+            self.retry_budget.record_request(now_s)
+            return True
+        if self.retry_budget.allow_retry(now_s):
+            return True
+        decisions.record(
+            'retry_withheld',
+            id=state.call.request_id,
+            server=state.server_id,
+            attempts=state.attempts,
+        )
+        return False
+
     def _check_key(self, state):
         """Refuse a request whose key was revoked while it waited."""
         table = self._context.table()
@@ -145,23 +184,13 @@
 
     async def _attempt(self, state, server, body, timeout_s, deliver):
         """Make one attempt; return False if another one may follow."""
-        balancer = self._context.balancer
         state.server_id = server.server_id
-        balancer.add_request(server.server_id)
         try:
-            async with (
-                self._stop_if_unreachable(state, server),
-                self._context.http_client.send(
-                    _resuming_call(state),
-                    body,
-                    server.address,
-                    server.server_id,
-                    timeout_s,
-                ) as response,
-            ):
-                return await self._receive_response(
-                    state, server, response, deliver
+            with outcomes.recording(self._context, state, server) as attempt:
+                attempt.has_run = await self._send(
+                    state, server, body, timeout_s, deliver
                 )
+            return attempt.has_run
         except errors.BackendFailed as failure:
             if failure.ran == 'no':
                 self._suspect_server(
@@ -172,8 +201,22 @@
             state.may_have_run = True
             self._background.spawn(self._check_crash(state, server))
             return self._retry_or_refuse(state, failure)
-        finally:
-            balancer.remove_request(server.server_id)
+
+    async def _send(self, state, server, body, timeout_s, deliver):
+        """Send a request; return whether the server ran it to the end."""
+        async with (
+            self._stop_if_unreachable(state, server),
+            self._context.http_client.send(
+                _resuming_call(state),
+                body,
+                server.address,
+                server.server_id,
+                timeout_s,
+            ) as response,
+        ):
+            return await self._receive_response(
+                state, server, response, deliver
+            )
 
     @contextlib.asynccontextmanager
     async def _stop_if_unreachable(self, state, server):
@@ -308,10 +351,10 @@
         Raises:
             Refused: it cannot.
         """
-        may_repeat = state.route.can_resume or (
-            state.route.is_idempotent and not state.responder.has_begun
-        )
-        if may_repeat and state.delivered_attempts < state.route.attempt_limit:
+        if (
+            _may_repeat(state)
+            and state.delivered_attempts < state.route.attempt_limit
+        ):
             decisions.record(
                 'repeat',
                 id=state.call.request_id,
@@ -322,6 +365,13 @@
         raise errors.Refused('broken', 502, str(failure), 'unknown')
 
 
+def _may_repeat(state):
+    """Return whether a request may be sent again after it may have run."""
+    return state.route.can_resume or (
+        state.route.is_idempotent and not state.responder.has_begun
+    )
+
+
 def unknown_key_refusal() -> errors.Refused:
     """Return the refusal of a request without a key that is in force."""
     return errors.Refused(
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -138,6 +138,14 @@
                 'Reports of leaving servers that were out of range',
                 lambda: self.reports_ignored,
             ),
+            'servers_ejected': (
+                'Servers ejected for their failures',
+                self.balancer.outliers.count_ejected,
+            ),
+            'retries_withheld': (
+                'Retries that the retry budget did not allow',
+                lambda: self.handler.attempts.retry_budget.withheld,
+            ),
             'servers_leaving': (
                 'Registered servers that are leaving',
                 self.directory.count_leaving,
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -133,6 +133,8 @@
         last_received_s: time of the last data from the server.
         load: load of the latest server when it was chosen.
         report_age_s: age of that server's load report at the time.
+        chosen_by: the factor that decided for that server.
+        caller_wait_s: time spent waiting for the caller to read.
         stage_times_s: time since arrival of each stage reached.
         reader: reads the events of a streamed response.
         workspace: the workspace of the caller's key; None without one.
@@ -154,6 +156,8 @@
     last_received_s: float = 0.0
     load: float = 0.0
     report_age_s: float = 0.0
+    chosen_by: str = ''
+    caller_wait_s: float = 0.0
     stage_times_s: dict[str, float] = dataclasses.field(default_factory=dict)
     reader: events.EventReader = dataclasses.field(
         default_factory=events.EventReader
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import zlib
 
@@ -37,12 +38,13 @@
     Attributes:
         in_flight: requests that are being handled.
         outcome_counts: requests that have ended, by outcome.
+        attempts: sends requests to backend servers.
     """
 
     def __init__(self, context: request_state.Context):
         self._context = context
         self._cache = turn_cache.TurnCache()
-        self._attempts = attempts.Attempts(context)
+        self.attempts = attempts.Attempts(context)
         self.in_flight = 0
         self.outcome_counts: dict[str, int] = {}
 
@@ -118,7 +120,7 @@
         if state.route.stores_turns or is_budgeted:
             await self._run_turn(state)
         else:
-            await self._attempts.run(
+            await self.attempts.run(
                 state, state.call.body, self._deliver_plain
             )
 
@@ -151,7 +153,7 @@
                     f'{requested_tokens} tokens exceed the program budget',
                 )
             body = history.assemble_prompt(chain, call.body)
-            await self._attempts.run(state, body, self._deliver_stream)
+            await self.attempts.run(state, body, self._deliver_stream)
             if state.status == 200:
                 self._record_stage(state, 'last_event_s')
                 if state.route.stores_turns:
@@ -233,9 +235,9 @@
 
     def _check_capacity(self, state):
         """Refuse a turn if all servers are full, before reserving tokens."""
-        choice = self._attempts.choose(state, frozenset())
+        choice = self.attempts.choose(state, frozenset())
         if choice is None:
-            raise self._attempts.capacity_refusal(state)
+            raise self.attempts.capacity_refusal(state)
 
     async def _deliver_plain(self, state, response):
         if state.route.is_stream and response.status == 200:
@@ -244,7 +246,8 @@
             return
         body = await response.body()
         headers = self._context.wire_format.response_headers(response.headers)
-        await state.responder.respond(response.status, headers, body)
+        with self._waiting_for_caller(state):
+            await state.responder.respond(response.status, headers, body)
 
     async def _deliver_stream(self, state, response):
         """Pass events on as they arrive, without ending the response.
@@ -272,8 +275,10 @@
                 continue
             if not state.responder.has_begun:
                 self._record_stage(state, 'first_event_s')
-                await state.responder.begin(response.status, headers)
-            await state.responder.write(chunk)
+                with self._waiting_for_caller(state):
+                    await state.responder.begin(response.status, headers)
+            with self._waiting_for_caller(state):
+                await state.responder.write(chunk)
         if not state.reader.is_complete or not state.reader.count:
             raise errors.BackendFailed(
                 state.server_id,
@@ -281,6 +286,15 @@
                 'the stream ended before an event was complete',
             )
 
+    @contextlib.contextmanager
+    def _waiting_for_caller(self, state):
+        """Measure time that a server must not be blamed for."""
+        started_s = self._context.clock()
+        try:
+            yield
+        finally:
+            state.caller_wait_s += self._context.clock() - started_s
+
     def _delivered_tokens(self, state):
         delivered_events = state.reader.count + (not state.reader.is_complete)
         return delivered_events * state.service.tokens_per_event
@@ -322,6 +336,7 @@
                 tries=state.attempts,
                 load=round(state.load, 1),
                 told_age_s=round(min(state.report_age_s, 999.0), 2),
+                chosen_by=state.chosen_by,
                 events=state.reader.count,
                 **state.stage_times_s,
             )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -536,6 +536,60 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_server_that_fails_gets_few_requests(tmp_path):
+    """Its health check does not show that it fails all requests."""
+
+    async def scenario(deployment):
+        entry = deployment.nodes['entry-a']
+        servers = [deployment.servers[n] for n in ('plain-1', 'plain-2')]
+        for server in servers:
+            server.switches.slowdown = 100
+        for _ in range(4):
+            assert (await deployment.post('/reads/x'))[0] == 200
+        servers[0].switches.fail = 1000
+        statuses = [(await deployment.post('/alerts/x'))[0] for _ in range(30)]
+        assert statuses.count(500) <= 3
+        assert set(statuses) == {200, 500}
+        assert entry.balancer.outliers.count_ejected() == 1
+        assert entry.gauges()['servers_ejected'][1]() == 1
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_retries_are_limited_only_where_a_slowdown_is_reported(tmp_path):
+    async def scenario(deployment):
+        entry = deployment.nodes['entry-a']
+        servers = [deployment.servers[n] for n in ('plain-1', 'plain-2')]
+
+        async def count_attempts():
+            for server in servers:
+                server.switches.refuse = 1000
+            before = entry.http_client.requests_sent
+            for _ in range(10):
+                assert (await deployment.post('/reads/x'))[0] == 503
+            return entry.http_client.requests_sent - before
+
+        assert await count_attempts() == 20
+        servers[0].switches.slowdown = 100
+        assert await count_attempts() < 20
+        assert await count_attempts() <= 12
+        assert entry.handler.attempts.retry_budget.withheld >= 8
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_malformed_load_report_is_counted_and_placement_goes_on(tmp_path):
+    async def scenario(deployment):
+        entry = deployment.nodes['entry-a']
+        for name in ('plain-1', 'plain-2'):
+            deployment.servers[name].switches.slowdown = -5
+        for _ in range(3):
+            assert (await deployment.post('/reads/x'))[0] == 200
+        assert entry.balancer.reports_ignored == 3
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_unusable_registration_removes_only_its_own_server(tmp_path):
     async def scenario(deployment):
         entry = deployment.nodes['entry-a']
