--- a/balsamdale/scheduling/outliers.py
+++ b/balsamdale/scheduling/outliers.py
@@ -60,8 +60,13 @@
         ):
             self.failures -= self.outcomes.popleft()[1]
 
-    def is_recent(self, now_s):
-        return bool(self.outcomes) and self.outcomes[-1][0] >= now_s - WINDOW_S
+
+@dataclasses.dataclass
+class _Totals:
+    """Sums over the windows of a service's servers."""
+
+    failures: int = 0
+    outcomes: int = 0
 
 
 @dataclasses.dataclass
@@ -89,6 +94,7 @@
 
     def __init__(self):
         self._records: dict[str, _Record] = {}
+        self._totals: dict[str, _Totals] = {}
 
     def record(
         self, service: str, server_id: str, is_failure: bool, now_s: float
@@ -102,8 +108,10 @@
         if record.ejected_s is not None:
             self._record_probe(server_id, record, is_failure, now_s)
             return
+        self._count(record, -1)
         record.window.add(now_s, is_failure, WINDOW_OUTCOMES)
-        sound_share = self._peer_failure_share(service, record, now_s)
+        self._count(record, 1)
+        sound_share = self._peer_failure_share(record)
         faulty_share = min(0.9, max(FAULTY_SHARE, 2.5 * sound_share))
         on_failure = math.log(faulty_share / sound_share)
         on_success = math.log((1 - faulty_share) / (1 - sound_share))
@@ -176,28 +184,30 @@
 
     def reset(self, server_id: str) -> None:
         """Remove what is known of a server."""
-        self._records.pop(server_id, None)
+        record = self._records.pop(server_id, None)
+        if record is not None:
+            self._count(record, -1)
 
     def remove_departed(self, registered: collections_abc.Set[str]) -> None:
         """Remove servers that are not registered."""
         for name in self._records.keys() - registered:
-            del self._records[name]
+            self.reset(name)
 
     def count_ejected(self) -> int:
         """Return how many servers are ejected."""
         return sum(r.ejected_s is not None for r in self._records.values())
 
-    def _peer_failure_share(self, service, record, now_s):
+    def _count(self, record, sign):
+        """Add a server's window to the sums of its service, or remove it."""
+        totals = self._totals.setdefault(record.service, _Totals())
+        totals.failures += sign * record.window.failures
+        totals.outcomes += sign * len(record.window.outcomes)
+
+    def _peer_failure_share(self, record):
         """Return the share of failures at the other servers, within bounds."""
-        windows = [
-            other.window
-            for other in self._records.values()
-            if other.service == service
-            and other is not record
-            and other.window.is_recent(now_s)
-        ]
-        failures = sum(window.failures for window in windows)
-        outcomes = sum(len(window.outcomes) for window in windows)
+        totals = self._totals[record.service]
+        failures = totals.failures - record.window.failures
+        outcomes = totals.outcomes - len(record.window.outcomes)
         # A few assumed successes, so that one failure in a small service is
         # not taken for a share.
         share = failures / (outcomes + 10)
@@ -220,6 +230,7 @@
             last_outcome_age_s=round(now_s - record.window.outcomes[-1][0], 3),
             pause_s=record.pause_s(),
         )
+        self._count(record, -1)
         record.window, record.score = _Window(), 0.0
 
     def _record_probe(self, server_id, record, is_failure, now_s):
