--- a/tests/scheduling/test_finish_time.py
+++ b/tests/scheduling/test_finish_time.py
@@ -13,15 +13,15 @@
 SPEEDS = (0.55, 1.2, 0.8, 0.55, 1.1, 0.7, 0.9, 1.2)
 
 
-def report(balancer, name, running=0, slowdown=1.0, now_s=NOW_S, slots=4):
-    load = wire.LoadReport(running, 0, slots, slowdown, True)
-    balancer.record_load(name, load, now_s)
+def report(balancer, name, running=0, slowdown=1.0):
+    load = wire.LoadReport(running, 0, 4, slowdown, True)
+    balancer.record_load(name, load, NOW_S)
 
 
-def timed_balancer(names='xy', **changes):
+def timed_balancer(names='xy'):
     """Return a balancer and servers that report a slowdown."""
     balancer = balance.Balancer('a')
-    servers = [builders.server(name, **changes) for name in names]
+    servers = [builders.server(name) for name in names]
     balancer.choose(servers, '', frozenset(), NOW_S)
     for name in names:
         report(balancer, name)
@@ -66,6 +66,7 @@
     balancer.set_held('u', 0, 0)
     # The bound of a learned speed; 0.6 is the median.
     learn(balancer, 'u', 0.001, count=200)
+    learn(balancer, 'u', float('nan'))
     cost = choose(balancer, servers, now_s=NOW_S + 1, tokens=100).cost
     assert cost == pytest.approx(0.4 / 4, rel=0.05)
 
