--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -65,6 +65,7 @@
         )
         self.http_client = exchange.HttpClient(platform_adapter.wire_format)
         self.quarantine = quarantine.Quarantine(QUARANTINE_CRASH_LIMIT)
+        self.reports_ignored = 0
         self.links.serve(quarantine.ReportCrash, self._on_crash)
         self.quota_client = quota.QuotaClient(
             self.relay,
@@ -82,6 +83,7 @@
         self.quota_service = quota_service.QuotaService(
             self.links, self._limiter_names, clocks.monotonic
         )
+        self.links.serve(discovery.ReportLeaving, self._on_leaving)
         self.handler = serving.RequestHandler(
             request_state.Context(
                 table=lambda: self.table,
@@ -94,7 +96,8 @@
                 wall_clock=clocks.wall,
                 account_retention_s=settings.account_retention_s,
                 quarantine=self.quarantine,
-                report_crash=self._broadcast_crash,
+                report_crash=self._broadcast,
+                report_leaving=self._broadcast,
                 record_latency=self.metrics.add_histogram(
                     'balsamdale_request_seconds',
                     'Time from a request to the end of its answer',
@@ -149,6 +152,26 @@
                 'Version in force',
                 lambda: self.table.version if self.table is not None else 0,
             ),
+            'load_reports_ignored': (
+                'Load reports that were malformed or out of range',
+                lambda: self.balancer.reports_ignored,
+            ),
+            'leaving_reports_ignored': (
+                'Reports of leaving servers that were out of range',
+                lambda: self.reports_ignored,
+            ),
+            'servers_ejected': (
+                'Servers ejected for their failures',
+                self.balancer.outliers.count_ejected,
+            ),
+            'retries_withheld': (
+                'Retries that the retry budget did not allow',
+                lambda: self.handler.attempts.retry_budget.withheld,
+            ),
+            'servers_leaving': (
+                'Registered servers that are leaving',
+                self.directory.count_leaving,
+            ),
             'servers': (
                 'Backend servers that are known',
                 lambda: len(list(self.directory)),
@@ -183,11 +206,11 @@
     def _limiter_names(self):
         return quota_service.limiter_names(self.member_directory)
 
-    def _broadcast_crash(self, report):
+    def _broadcast(self, report):
         for peer_id in self.member_directory.entry_peers():
-            self._background.spawn(self._send_crash_report(peer_id, report))
+            self._background.spawn(self._send_report(peer_id, report))
 
-    async def _send_crash_report(self, peer_id, message):
+    async def _send_report(self, peer_id, message):
         try:
             await self.links.request(peer_id, message)
         except errors.LinkError as error:
@@ -197,6 +220,19 @@
         self.quarantine.report(message.digest, message.crash_id)
         yield members.Heard()
 
+    async def _on_leaving(self, _sender, message):
+        # Not passed on: whoever learned it from the server told all entries.
+        if message.is_valid():
+            self.directory.mark_leaving(message.server_id, message.started_ms)
+        else:
+            self.reports_ignored += 1
+            decisions.record(
+                'leaving_report_ignored',
+                server=message.server_id[:80],
+                count=self.reports_ignored,
+            )
+        yield members.Heard()
+
     def _addresses(self, failure_domain):
         return registry.addresses(
             self.member_directory.entries(), failure_domain
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -79,6 +79,7 @@
             the program's deadline and the retention of its turns.
         quarantine: digests of requests that crashed backend servers.
         report_crash: sends a crash report to the peers.
+        report_leaving: tells the other entries that a server is leaving.
         record_latency: records how long a request took, by its outcome.
         quota: acquires units of the quotas of workspaces.
     """
@@ -94,6 +95,7 @@
     account_retention_s: float
     quarantine: quarantine.Quarantine
     report_crash: collections_abc.Callable[[quarantine.ReportCrash], None]
+    report_leaving: collections_abc.Callable[[discovery.ReportLeaving], None]
     record_latency: metrics.RecordValue
     quota: quota.QuotaClient
 
@@ -134,6 +136,8 @@
         last_received_s: time of the last data from the server.
         load: load of the latest server when it was chosen.
         report_age_s: age of that server's load report at the time.
+        chosen_by: the factor that decided for that server.
+        caller_wait_s: time spent waiting for the caller to read.
         stage_times_s: time since arrival of each stage reached.
         reader: reads the events of a streamed response.
         workspace: the workspace of the caller's key; None without one.
@@ -156,6 +160,8 @@
     last_received_s: float = 0.0
     load: float = 0.0
     report_age_s: float = 0.0
+    chosen_by: str = ''
+    caller_wait_s: float = 0.0
     stage_times_s: dict[str, float] = dataclasses.field(default_factory=dict)
     reader: events.EventReader = dataclasses.field(
         default_factory=events.EventReader
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -8,6 +8,7 @@
 from balsamdale import errors
 from balsamdale.platform import headers
 from balsamdale import routes
+from balsamdale import wire
 
 WIRE_FORMAT = headers.PlatformWireFormat()
 
@@ -117,6 +118,40 @@
     )
 
 
+def test_load_report_has_three_or_four_values():
+    for text, found in (
+        ('3,0,8', wire.LoadReport(3, 0, 8, 1.0, False)),
+        ('3, 0,8, 250', wire.LoadReport(3, 0, 8, 2.5, True)),
+    ):
+        response_headers = {'X-Server-Load': text}
+        assert WIRE_FORMAT.decode_response(200, response_headers).load == found
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        *('', 'x', '1,2', '1,0,8,100,1', '-1,0,8', '1,-1,8,100', '1,0,0,100'),
+        *('1,0,0', '1,0,8,', '1,0,8,1.5', '1,0,8,nan', '1,0,8,-100'),
+        *('1,0,8,0', '1,0,8,99999', '1,0,70000', '\u00b2,0,8', '9' * 5000),
+        '1,0,8,' + '9' * 5000,
+    ],
+)
+def test_malformed_load_report_is_ignored_and_counted(text):
+    """A report that raised, or placed work by nonsense, would do harm."""
+    metadata = WIRE_FORMAT.decode_response(200, {'X-Server-Load': text})
+    assert metadata.load is None
+    assert metadata.is_load_malformed
+
+
+def test_leaving_server_says_so():
+    for value in ('1', '0', 'yes'):
+        sent = {'Server-Leaving': value}
+        metadata = WIRE_FORMAT.decode_response(200, sent)
+        assert metadata.is_leaving == (value == '1')
+        assert WIRE_FORMAT.response_headers(sent) == []
+    assert not WIRE_FORMAT.decode_response(200, {}).is_load_malformed
+
+
 def test_refusal_says_when_to_come_back():
     refused = errors.Refused('no_room', 503, '', 'no', 0.25)
     assert ('Retry-After', '0.250') in WIRE_FORMAT.refusal_headers(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -475,6 +475,100 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_leaving_server_gets_no_further_request_from_any_entry(tmp_path):
+    """Its registration does not change; forged reports change nothing."""
+
+    async def scenario(deployment):
+        entries = [deployment.nodes[n] for n in ('entry-a', 'entry-b')]
+        leaving = deployment.servers['plain-1']
+        for started_ms in (99, -1):
+            report = discovery.ReportLeaving('plain-1', started_ms)
+            await entries[1].links.request('entry-a', report)
+        assert len(entries[0].directory.ready('plain')) == 2
+        assert entries[0].reports_ignored == 1
+        # A refusal, after which the request is sent elsewhere, says it too.
+        leaving.switches.is_leaving, leaving.switches.refuse = True, 1
+        while leaving.switches.refuse:
+            assert (await deployment.post('/alerts/x'))[0] == 200
+        await deployment.wait_until(
+            lambda: all(len(e.directory.ready('plain')) == 1 for e in entries)
+        )
+        address = _address(deployment, 'plain-1')
+        deployment.register('plain-1', 'plain', address, seq=2)
+        await asyncio.sleep(0.2)
+        for name in ('entry-a', 'entry-b') * 6:
+            assert (await deployment.post('/reads/x', entry=name))[0] == 200
+        assert not leaving.runs
+        deployment.register('plain-1', 'plain', address, born=7)
+        await deployment.wait_until(
+            lambda: all(len(e.directory.ready('plain')) == 2 for e in entries)
+        )
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_server_that_fails_gets_few_requests(tmp_path):
+    """Its health check does not show that it fails all requests."""
+
+    async def scenario(deployment):
+        entry = deployment.nodes['entry-a']
+        servers = [deployment.servers[n] for n in ('plain-1', 'plain-2')]
+        for slowdown in (-5, 100):
+            for server in servers:
+                server.switches.slowdown = slowdown
+            for _ in range(4):
+                assert (await deployment.post('/reads/x'))[0] == 200
+        assert entry.balancer.reports_ignored == 4
+        servers[0].switches.fail = 1000
+        statuses = [(await deployment.post('/alerts/x'))[0] for _ in range(30)]
+        assert statuses.count(500) <= 3
+        assert set(statuses) == {200, 500}
+        assert entry.balancer.outliers.count_ejected() == 1
+        assert entry.gauges()['servers_ejected'][1]() == 1
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_retries_are_limited_only_where_a_slowdown_is_reported(tmp_path):
+    async def scenario(deployment):
+        entry = deployment.nodes['entry-a']
+        servers = [deployment.servers[n] for n in ('plain-1', 'plain-2')]
+
+        async def count_attempts():
+            for server in servers:
+                server.switches.refuse = 1000
+            before = entry.http_client.requests_sent
+            for _ in range(10):
+                assert (await deployment.post('/reads/x'))[0] == 503
+            return entry.http_client.requests_sent - before
+
+        assert await count_attempts() == 20
+        servers[0].switches.slowdown = 100
+        assert await count_attempts() < 20
+        assert await count_attempts() <= 12
+        assert entry.handler.attempts.retry_budget.withheld >= 8
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_unusable_registration_removes_only_its_own_server(tmp_path):
+    async def scenario(deployment):
+        directory = deployment.nodes['entry-a'].directory
+        address = _address(deployment, 'plain-1')
+        for key in ('state', 'slots', 'zone', 'born'):
+            deployment.register('plain-1', 'plain', address, **{key: None})
+            await deployment.wait_until(
+                lambda: len(directory.ready('plain')) == 1
+            )
+            assert (await deployment.post('/reads/x'))[0] == 200
+            deployment.register('plain-1', 'plain', address)
+            await deployment.wait_until(
+                lambda: len(directory.ready('plain')) == 2
+            )
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_server_removed_after_an_outage_is_dropped_at_once(tmp_path):
     async def scenario(deployment):
         entry = deployment.nodes['entry-a']
