Shorten the tests of quotas

One decorator opens the fleet of each test. Retry times are checked through the service only, where two entries ask.

Tests: tests/test_quota.py, tests/scheduling/test_quota.py.

--- a/tests/scheduling/quota_world.py
+++ b/tests/scheduling/quota_world.py
@@ -57,14 +57,7 @@
 
 
 class LimiterWorld:
-    """Entries that send requests of one workspace to its limiter.
-
-    Args:
-        limiter_class: class of the limiters.
-        entry_count: number of entries.
-        rate_per_s: rate of the limit at the start.
-        burst: burst of the limit at the start.
-    """
+    """Entries that send requests of one workspace to its limiter."""
 
     def __init__(
         self,
--- a/tests/scheduling/test_quota.py
+++ b/tests/scheduling/test_quota.py
@@ -201,13 +201,6 @@
     assert lease.wait_s <= quota.MAX_WAIT_S
 
 
-def test_refused_requests_get_successive_retry_times():
-    limiter = full_limiter(limit(2.0, 1.0))
-    leases = [limiter.acquire(limit(2.0, 1.0), 2, NOW_S) for _ in range(3)]
-    retry_times_s = [lease.retry_after_s for lease in leases]
-    assert retry_times_s == pytest.approx([0.5, 1.0, 2.0])
-
-
 def test_clock_that_jumps_fills_no_more_than_the_burst():
     bucket = quota.TokenBucket(2.0, 5.0, 0.0, NOW_S)
     assert bucket.level(NOW_S + 1e9) == 5.0
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,6 +1,7 @@
 """Tests of the client and the service of quotas over links."""
 
 import asyncio
+import inspect
 import random
 
 import pytest
@@ -96,183 +97,163 @@
         return part.gauges()[f'quota_{name}'][1]()
 
 
-def run(scenario):
-    async def main():
+def fleet_test(test):
+    """Run a test with a fleet whose limiters have full buckets."""
+
+    async def run(**arguments):
         fleet = Fleet()
-        # The buckets of all limiters have filled.
         await asyncio.sleep(10.0)
-        await scenario(fleet)
-
-    virtual.run(main())
+        await test(fleet, **arguments)
 
+    def wrapper(**arguments):
+        virtual.run(run(**arguments))
 
-def test_concurrent_requests_share_a_message():
-    async def scenario(fleet):
-        assert await fleet.acquire(12) == [None] * 12
-        assert [m.wanted for _, m in fleet.messages] == [12]
-        assert fleet.messages[0][0] == LIMITER
+    parameters = list(inspect.signature(test).parameters.values())[1:]
+    wrapper.__signature__ = inspect.Signature(parameters)
+    return wrapper
 
-    run(scenario)
 
+@fleet_test
+async def test_concurrent_requests_share_a_message(fleet):
+    assert await fleet.acquire(12) == [None] * 12
+    assert [m.wanted for _, m in fleet.messages] == [12]
+    assert fleet.messages[0][0] == LIMITER
 
-def test_workspace_without_a_limit_needs_no_message():
-    async def scenario(fleet):
-        await fleet.acquire(50, limit=workspace(0.0))
-        assert not fleet.messages
 
-    run(scenario)
+@fleet_test
+async def test_workspace_without_a_limit_needs_no_message(fleet):
+    await fleet.acquire(50, limit=workspace(0.0))
+    assert not fleet.messages
 
 
-def test_refused_requests_of_both_entries_get_successive_times():
-    async def scenario(fleet):
-        times = [
-            *(await fleet.acquire(22)),
-            *(await fleet.acquire(2, 'e1')),
-        ]
-        assert times[:20] == [None] * 20
-        assert times[20:] == pytest.approx([0.1, 0.2, 0.3, 0.4])
+@fleet_test
+async def test_refused_requests_of_both_entries_get_successive_times(fleet):
+    times = [
+        *(await fleet.acquire(22)),
+        *(await fleet.acquire(2, 'e1')),
+    ]
+    assert times[:20] == [None] * 20
+    assert times[20:] == pytest.approx([0.1, 0.2, 0.3, 0.4])
 
-    run(scenario)
 
+@fleet_test
+async def test_unit_that_is_due_soon_is_waited_for(fleet):
+    limit = workspace(50.0, 1.0)
+    start_s = fleet.clock()
+    assert await fleet.acquire(2, limit=limit) == [None, None]
+    assert fleet.clock() - start_s == pytest.approx(0.02)
 
-def test_unit_that_is_due_soon_is_waited_for():
-    async def scenario(fleet):
-        limit = workspace(50.0, 1.0)
-        start_s = fleet.clock()
-        assert await fleet.acquire(2, limit=limit) == [None, None]
-        assert fleet.clock() - start_s == pytest.approx(0.02)
 
-    run(scenario)
+@fleet_test
+async def test_unit_given_back_is_used_by_the_next_request(fleet):
+    await fleet.acquire()
+    fleet.clients['e0'].give_back('w')
+    await fleet.acquire()
+    assert len(fleet.messages) == 1
 
 
-def test_unit_given_back_is_used_by_the_next_request():
-    async def scenario(fleet):
-        await fleet.acquire()
+@fleet_test
+async def test_unit_given_back_is_returned_if_it_is_not_used(fleet):
+    await fleet.acquire()
+    await fleet.acquire()
+    for _ in range(2):
         fleet.clients['e0'].give_back('w')
-        await fleet.acquire()
-        assert len(fleet.messages) == 1
-
-    run(scenario)
-
-
-def test_unit_given_back_is_returned_if_it_is_not_used():
-    async def scenario(fleet):
-        await fleet.acquire()
-        await fleet.acquire()
-        for _ in range(2):
-            fleet.clients['e0'].give_back('w')
-        await asyncio.sleep(1.0)
-        assert [m.returned for _, m in fleet.messages] == [0, 0, 2]
-        service = fleet.services[LIMITER]
-        assert fleet.gauge(service, 'limiter_units_returned') == 2
-
-    run(scenario)
-
-
-def test_caller_that_disconnects_gives_its_unit_back():
-    async def scenario(fleet):
-        fleet.reply_delay_s = 0.02
-        task = asyncio.create_task(fleet.acquire())
-        await asyncio.sleep(0.01)
-        task.cancel()
-        await asyncio.sleep(0.1)
-        await fleet.acquire()
-        assert len(fleet.messages) == 1
-
-    run(scenario)
-
-
-def test_silent_limiter_costs_one_wait_and_no_other_is_asked():
-    async def scenario(fleet):
-        await fleet.acquire()
-        fleet.cut(LIMITER)
-        start_s = fleet.clock()
-        await fleet.acquire()
-        assert fleet.clock() - start_s == pytest.approx(0.06)
-        await fleet.acquire(40)
-        assert fleet.clock() - start_s == pytest.approx(0.06)
-        await asyncio.sleep(1.0)
-        assert {name for name, _ in fleet.messages} == {LIMITER}
-        client = fleet.clients['e0']
-        admitted = fleet.gauge(client, 'fallback_admitted')
-        # Its share of the limit: all of it, as the other entry had nothing.
-        assert 5 <= admitted <= 21
-        assert fleet.gauge(client, 'fallback_refused') == 41 - admitted
-        # The limiter counts them once it replies.
-        fleet.network.cuts.clear()
-        await asyncio.sleep(1.0)
-        await fleet.acquire()
-        await asyncio.sleep(0.1)
-        await fleet.acquire()
-        assert sum(m.admitted for _, m in fleet.messages) >= admitted
-
-    run(scenario)
-
-
-def test_limiter_is_asked_through_a_relay():
-    async def scenario(fleet):
-        fleet.network.cuts |= {('e0', LIMITER), (LIMITER, 'e0')}
-        await fleet.acquire()
-        await asyncio.sleep(0.3)
-        await fleet.acquire()
-        await asyncio.sleep(0.1)
-        await fleet.acquire(5)
-        assert fleet.messages[-1][1].wanted == 5
-
-    run(scenario)
-
-
-def test_units_that_arrive_late_are_used_by_the_next_request():
-    async def scenario(fleet):
-        fleet.reply_delay_s = 0.1
-        await fleet.acquire()
-        await asyncio.sleep(0.1)
-        await fleet.acquire()
-        assert len(fleet.messages) == 1
-        assert fleet.gauge(fleet.clients['e0'], 'fallback_admitted') == 1
-
-    run(scenario)
+    await asyncio.sleep(1.0)
+    assert [m.returned for _, m in fleet.messages] == [0, 0, 2]
+    service = fleet.services[LIMITER]
+    assert fleet.gauge(service, 'limiter_units_returned') == 2
+
+
+@fleet_test
+async def test_caller_that_disconnects_gives_its_unit_back(fleet):
+    fleet.reply_delay_s = 0.02
+    task = asyncio.create_task(fleet.acquire())
+    await asyncio.sleep(0.01)
+    task.cancel()
+    await asyncio.sleep(0.1)
+    await fleet.acquire()
+    assert len(fleet.messages) == 1
+
+
+@fleet_test
+async def test_silent_limiter_costs_one_wait_and_no_other_is_asked(fleet):
+    await fleet.acquire()
+    fleet.cut(LIMITER)
+    start_s = fleet.clock()
+    await fleet.acquire()
+    assert fleet.clock() - start_s == pytest.approx(0.06)
+    await fleet.acquire(40)
+    assert fleet.clock() - start_s == pytest.approx(0.06)
+    await asyncio.sleep(1.0)
+    assert {name for name, _ in fleet.messages} == {LIMITER}
+    client = fleet.clients['e0']
+    admitted = fleet.gauge(client, 'fallback_admitted')
+    # Its share of the limit: all of it, as the other entry had nothing.
+    assert 5 <= admitted <= 21
+    assert fleet.gauge(client, 'fallback_refused') == 41 - admitted
+    # The limiter counts them once it replies.
+    fleet.network.cuts.clear()
+    await asyncio.sleep(1.0)
+    await fleet.acquire()
+    await asyncio.sleep(0.1)
+    await fleet.acquire()
+    assert sum(m.admitted for _, m in fleet.messages) >= admitted
+
+
+@fleet_test
+async def test_limiter_is_asked_through_a_relay(fleet):
+    fleet.network.cuts |= {('e0', LIMITER), (LIMITER, 'e0')}
+    await fleet.acquire()
+    await asyncio.sleep(0.3)
+    await fleet.acquire()
+    await asyncio.sleep(0.1)
+    await fleet.acquire(5)
+    assert fleet.messages[-1][1].wanted == 5
+
+
+@fleet_test
+async def test_units_that_arrive_late_are_used_by_the_next_request(fleet):
+    fleet.reply_delay_s = 0.1
+    await fleet.acquire()
+    await asyncio.sleep(0.1)
+    await fleet.acquire()
+    assert len(fleet.messages) == 1
+    assert fleet.gauge(fleet.clients['e0'], 'fallback_admitted') == 1
 
 
 @pytest.mark.parametrize('event', ('restart', 'replace'))
-def test_new_limiter_lends_no_second_burst(event):
-    async def scenario(fleet):
-        assert (await fleet.acquire(20)).count(None) == 20
-        if event == 'restart':
-            fleet.start_service(LIMITER)
-        else:
-            fleet.names.remove(LIMITER)
-            # A limiter notices it before it lends again.
-            fleet.services[NEXT_LIMITER]._observe()
-        assert (await fleet.acquire(20)).count(None) == 8
-        expected = LIMITER if event == 'restart' else NEXT_LIMITER
-        assert fleet.messages[-1][0] == expected
-
-    run(scenario)
-
-
-def test_archive_that_is_not_the_limiter_lends_nothing():
-    async def scenario(fleet):
-        # The entry knows of the removal before the archives.
-        fleet.clients['e0']._candidates = lambda: [NEXT_LIMITER]
-        await fleet.acquire()
-        service = fleet.services[NEXT_LIMITER]
-        assert fleet.gauge(service, 'limiter_units_lent') == 0
-        assert fleet.gauge(service, 'limiter_ignored') == 1
-        assert fleet.gauge(fleet.clients['e0'], 'fallback_admitted') == 1
-
-    run(scenario)
-
-
-def test_newest_limit_wins_and_a_lower_one_binds_at_once():
-    async def scenario(fleet):
-        await fleet.acquire()
-        low = workspace(1.0, 2.0)
-        lent = (await fleet.acquire(10, 'e1', 2, low)).count(None)
-        lent += (await fleet.acquire(10, 'e0', 1)).count(None)
-        assert lent == 2
-
-    run(scenario)
+@fleet_test
+async def test_new_limiter_lends_no_second_burst(fleet, event):
+    assert (await fleet.acquire(20)).count(None) == 20
+    if event == 'restart':
+        fleet.start_service(LIMITER)
+    else:
+        fleet.names.remove(LIMITER)
+        # A limiter notices it before it lends again.
+        fleet.services[NEXT_LIMITER]._observe()
+    assert (await fleet.acquire(20)).count(None) == 8
+    expected = LIMITER if event == 'restart' else NEXT_LIMITER
+    assert fleet.messages[-1][0] == expected
+
+
+@fleet_test
+async def test_archive_that_is_not_the_limiter_lends_nothing(fleet):
+    # The entry knows of the removal before the archives.
+    fleet.clients['e0']._candidates = lambda: [NEXT_LIMITER]
+    await fleet.acquire()
+    service = fleet.services[NEXT_LIMITER]
+    assert fleet.gauge(service, 'limiter_units_lent') == 0
+    assert fleet.gauge(service, 'limiter_ignored') == 1
+    assert fleet.gauge(fleet.clients['e0'], 'fallback_admitted') == 1
+
+
+@fleet_test
+async def test_newest_limit_wins_and_a_lower_one_binds_at_once(fleet):
+    await fleet.acquire()
+    low = workspace(1.0, 2.0)
+    lent = (await fleet.acquire(10, 'e1', 2, low)).count(None)
+    lent += (await fleet.acquire(10, 'e0', 1)).count(None)
+    assert lent == 2
 
 
 @pytest.mark.parametrize(
@@ -288,24 +269,22 @@
         {'workspace': ''},
     ),
 )
-def test_malformed_message_changes_nothing(changes):
-    async def scenario(fleet):
-        fields = {
-            'workspace': 'w',
-            'version': 9,
-            'rate_per_s': 1.0,
-            'burst': 1.0,
-            'wanted': 1,
-            'returned': 0,
-        }
-        message = quota_service.LendUnits(**{**fields, **changes})
-        service = fleet.services[LIMITER]
-        (reply,) = [r async for r in service._on_lend_units('e0', message)]
-        assert not reply.is_limiter
-        assert fleet.gauge(service, 'limiter_ignored') == 1
-        assert fleet.gauge(service, 'limiter_buckets') == 0
-
-    run(scenario)
+@fleet_test
+async def test_malformed_message_changes_nothing(fleet, changes):
+    fields = {
+        'workspace': 'w',
+        'version': 9,
+        'rate_per_s': 1.0,
+        'burst': 1.0,
+        'wanted': 1,
+        'returned': 0,
+    }
+    message = quota_service.LendUnits(**{**fields, **changes})
+    service = fleet.services[LIMITER]
+    (reply,) = [r async for r in service._on_lend_units('e0', message)]
+    assert not reply.is_limiter
+    assert fleet.gauge(service, 'limiter_ignored') == 1
+    assert fleet.gauge(service, 'limiter_buckets') == 0
 
 
 @pytest.mark.parametrize(
@@ -317,12 +296,10 @@
         members.Heard(),
     ),
 )
-def test_malformed_reply_is_no_decision(reply):
-    async def scenario(fleet):
-        fleet.change_reply = lambda _reply: reply
-        await fleet.acquire()
-        client = fleet.clients['e0']
-        assert fleet.gauge(client, 'fallback_admitted') == 1
-        assert fleet.gauge(client, 'units_received') == 0
-
-    run(scenario)
+@fleet_test
+async def test_malformed_reply_is_no_decision(fleet, reply):
+    fleet.change_reply = lambda _reply: reply
+    await fleet.acquire()
+    client = fleet.clients['e0']
+    assert fleet.gauge(client, 'fallback_admitted') == 1
+    assert fleet.gauge(client, 'units_received') == 0
