Allocate slots of servers per service and failure domain

Entries hear from each server too rarely to know its load, so bursts fill some servers beyond their slots while others are free. One entry of each failure domain now allocates the slots of a service there, queues requests while all are held, and refuses at once those that would start too late. Enabled by the setting slot_allocation.

--- /dev/null
+++ b/balsamdale/allocation.py
@@ -0,0 +1,379 @@
+"""Slots for the requests of an entry, asked for at the allocators.
+
+A request asks before each attempt and holds its slot until the attempt has
+ended. While an allocator is silent the entry chooses servers by itself,
+within its share of the slots.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+import contextlib
+import dataclasses
+import itertools
+import math
+import typing
+
+from balsamdale import allocation_messages as messages
+from balsamdale import allocators
+from balsamdale import decisions
+from balsamdale import discovery
+from balsamdale import errors
+from balsamdale import holdings
+from balsamdale import link
+from balsamdale import metrics
+from balsamdale import request_state
+from balsamdale.scheduling import balance
+from balsamdale.scheduling import slots
+from balsamdale import wire
+
+__all__ = ['SlotClient']
+
+# Time for the first reply of an allocator: many round trips of 0.4 ms, and
+# short against the objectives of 68 ms and more.
+REPLY_TIMEOUT_S = 0.04
+# Silence while a request waits; three keepalives of the allocator.
+QUEUED_SILENCE_S = 0.3
+# Allocators that one attempt may ask: that of the domain, its successor if
+# it is leaving, and that of another domain.
+MAX_ASKED = 3
+# Waits that are logged.
+LONG_WAIT_S = 0.05
+# Weight of the latest request in the expected work of its route.
+WORK_SMOOTHING = 0.1
+# Programs that are known to be in progress.
+PROGRAM_LIMIT = 4096
+# Retry-After while the entry is at its own share of the slots: about the
+# time of one answer.
+FALLBACK_RETRY_AFTER_S = 0.3
+# Refusals after which an entry asks another allocator, or chooses itself.
+LEAVING = 'leaving'
+UNDECIDED_REASONS = ('stale', 'no_server')
+# Replies after which the allocator knows that no slot is held.
+DECIDED = (messages.SlotRefused, messages.SlotElsewhere)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Slot:
+    """A slot that a request holds."""
+
+    book: holdings.Holdings
+    hold_id: int
+    choice: balance.Choice
+    allocator_id: str
+    since_s: float
+
+
+class SlotClient(request_state.SlotSource):
+    """Asks the allocators for slots, and reports to them what is held.
+
+    Args:
+        links: connections to peers.
+        allocators_: finds the allocators.
+        directory: the registered backend servers.
+        mode: 'on' or 'off', or 'auto': for services whose servers report a
+            slowdown.
+        clock: returns the present time of the monotonic clock in seconds.
+        started_ms: start of this entry, since the Unix epoch.
+        record_wait: records how long a request waited, by its outcome.
+
+    Attributes:
+        counts: attempts with a slot by their kind: 'allocated', 'fallback',
+            'refused'.
+    """
+
+    def __init__(
+        self,
+        links: link.Links,
+        allocators_: allocators.Allocators,
+        directory: discovery.Directory,
+        mode: typing.Literal['auto', 'on', 'off'],
+        clock: collections_abc.Callable[[], float],
+        started_ms: int,
+        record_wait: metrics.RecordValue,
+    ):
+        self._links = links
+        self._allocators = allocators_
+        self._directory = directory
+        self._mode = mode
+        self._clock = clock
+        self._reporter = holdings.Reporter(
+            links, allocators_, clock, started_ms
+        )
+        self._record_wait = record_wait
+        self._hold_ids = itertools.count(1)
+        self._auto_services: set[str] = set()
+        self._work_s: dict[str, float] = {}
+        self._programs: dict[str, None] = {}
+        self.counts = {'allocated': 0, 'fallback': 0, 'refused': 0}
+
+    def is_used(self, service: str) -> bool:
+        return self._mode == 'on' or (
+            self._mode == 'auto' and service in self._auto_services
+        )
+
+    def record_load(
+        self, server: discovery.Server, load: wire.LoadReport
+    ) -> None:
+        # Part of the report from servers that report a slowdown.
+        if getattr(load, 'has_slowdown', False):
+            self._auto_services.add(server.service)
+        if self.is_used(server.service):
+            book = self._reporter.book(server.service, server.failure_domain)
+            book.loads[server.server_id] = load, self._clock()
+
+    def record_outcome(
+        self, server: discovery.Server, outcome: balance.Outcome
+    ) -> None:
+        if self.is_used(server.service):
+            book = self._reporter.book(server.service, server.failure_domain)
+            book.outcomes.append((server.server_id, outcome))
+
+    @contextlib.asynccontextmanager
+    async def acquire(
+        self,
+        state: request_state.RequestState,
+        excluded: collections_abc.Set[str],
+        choose: request_state.Choose,
+    ) -> collections_abc.AsyncIterator[balance.Choice]:
+        started_s = self._clock()
+        outcome = 'cancelled'
+        try:
+            slot = await self._allocate(state, excluded, choose)
+            outcome = 'allocated' if slot.allocator_id else 'fallback'
+            state.allocator = slot.allocator_id
+            self.counts[outcome] += 1
+        except errors.Refused:
+            outcome = 'refused'
+            self.counts[outcome] += 1
+            raise
+        finally:
+            waited_s = self._clock() - started_s
+            state.waited_s += waited_s
+            self._record_wait(waited_s, {'outcome': outcome})
+        try:
+            if waited_s > LONG_WAIT_S:
+                decisions.record(
+                    'slot_waited',
+                    id=state.call.request_id,
+                    allocator=slot.allocator_id,
+                    server=slot.choice.server.server_id,
+                    waited_s=round(waited_s, 4),
+                    rank=state.priority,
+                    told_age_s=round(min(slot.choice.report_age_s, 999.0), 2),
+                )
+            yield slot.choice
+        finally:
+            self._release(state, slot)
+
+    async def run(self) -> None:
+        """Report what is held until cancelled."""
+        await self._reporter.run()
+
+    def close(self) -> None:
+        """Stop reporting."""
+        self._reporter.close()
+
+    async def _allocate(self, state, excluded, choose):
+        """Return a slot, from an allocator or by the entry's own choice."""
+        service = state.service.name
+        domain = self._allocators.home_domain(service)
+        is_forwarded = False
+        allocator_id = ''
+        for _ in range(MAX_ASKED):
+            allocator_id = self._allocators.find(service, domain)
+            if not allocator_id:
+                return self._fall_back(state, excluded, choose, '', 'none')
+            book = self._reporter.book(service, domain)
+            slot, reply = await self._ask(
+                book, allocator_id, state, excluded, is_forwarded
+            )
+            if slot is not None:
+                return slot
+            if isinstance(reply, messages.SlotElsewhere):
+                if is_forwarded:
+                    break
+                domain, is_forwarded = reply.failure_domain, True
+                continue
+            if not isinstance(reply, messages.SlotRefused):
+                break
+            if reply.reason == LEAVING:
+                self._allocators.mark_leaving(allocator_id)
+            elif reply.reason in UNDECIDED_REASONS:
+                break
+            else:
+                raise _refused(state, reply.reason, reply.retry_after_s)
+        return self._fall_back(
+            state, excluded, choose, allocator_id, _reason(reply)
+        )
+
+    async def _ask(self, book, allocator_id, state, excluded, is_forwarded):
+        """Ask an allocator; return a slot or None, and its last reply.
+
+        The reply is None if the allocator is silent.
+        """
+        breaker = self._reporter.breaker(allocator_id)
+        if not breaker.try_pass(self._clock()):
+            return None, None
+        hold_id = next(self._hold_ids)
+        book.awaited.add(hold_id)
+        replies = self._links.stream(
+            allocator_id,
+            self._request(
+                book, hold_id, allocator_id, state, excluded, is_forwarded
+            ),
+        )
+        slot = reply = None
+        timeout_s = REPLY_TIMEOUT_S
+        try:
+            while reply is None or isinstance(reply, messages.SlotQueued):
+                async with asyncio.timeout(timeout_s):
+                    reply = await anext(replies)
+                breaker.record_reply(self._clock())
+                self._reporter.note_reply(book, reply)
+                timeout_s = QUEUED_SILENCE_S
+            if isinstance(reply, messages.SlotAllocated):
+                slot = self._begin(book, hold_id, allocator_id, state, reply)
+        except (TimeoutError, StopAsyncIteration, errors.LinkError):
+            reply = None
+            breaker.record_silence(self._clock())
+        finally:
+            breaker.is_probing = False
+            book.awaited.discard(hold_id)
+            if slot is None and not isinstance(reply, DECIDED):
+                self._reporter.report_freed(book)
+            await replies.aclose()
+        return slot, reply
+
+    def _request(
+        self, book, hold_id, allocator_id, state, excluded, is_forwarded
+    ):
+        call, now_s = state.call, self._clock()
+        program_remaining_s = call.program_time_left_s
+        if program_remaining_s is not None:
+            program_remaining_s -= now_s - state.started_s
+        program_id = state.record_ids.program_id if call.program_id else ''
+        caller_key = program_id or request_state.digest(call)
+        return messages.AllocateSlot(
+            service=book.service,
+            failure_domain=book.failure_domain,
+            report=self._reporter.report(book, allocator_id),
+            hold_id=hold_id,
+            request_id=call.request_id,
+            remaining_s=_duration(state.deadline_s - now_s),
+            program_remaining_s=program_remaining_s,
+            rank=min(messages.MAX_RANK, max(0, state.priority)),
+            is_in_progress=self._is_in_progress(state, program_id),
+            work_s=_duration(self._work_s.get(state.route.name, 0.0)),
+            workspace=call.workspace,
+            return_key=f'{call.workspace}|{caller_key}',
+            affinity=state.affinity,
+            excluded=tuple(excluded),
+            prompt_tokens=call.prompt_tokens,
+            tokens=call.prompt_tokens + call.answer_tokens,
+            memory_tokens=state.service.memory_tokens,
+            is_retryable=state.route.is_idempotent or state.route.can_resume,
+            is_forwarded=is_forwarded,
+        )
+
+    def _is_in_progress(self, state, program_id):
+        """Return whether the request's program has begun to be served."""
+        return bool(
+            state.call.parent_id
+            or state.attempts
+            or program_id in self._programs
+        )
+
+    def _begin(self, book, hold_id, allocator_id, state, reply):
+        """Return the allocated slot; None if its server is not known here."""
+        server = next(
+            (
+                s
+                for s in self._directory.ready(book.service)
+                if s.server_id == reply.server_id
+            ),
+            None,
+        )
+        if server is None:
+            return None
+        choice = balance.Choice(
+            server, reply.load, reply.cost, reply.report_age_s
+        )
+        return self._hold(book, hold_id, choice, allocator_id, state)
+
+    def _hold(self, book, hold_id, choice, allocator_id, state):
+        call = state.call
+        book.held[hold_id] = slots.Hold(
+            hold_id,
+            choice.server.server_id,
+            call.prompt_tokens + call.answer_tokens,
+        )
+        if call.program_id:
+            self._programs.pop(state.record_ids.program_id, None)
+            self._programs[state.record_ids.program_id] = None
+            while len(self._programs) > PROGRAM_LIMIT:
+                del self._programs[next(iter(self._programs))]
+        return _Slot(book, hold_id, choice, allocator_id, self._clock())
+
+    def _release(self, state, slot):
+        """Free a slot; its allocator learns it with the next report."""
+        del slot.book.held[slot.hold_id]
+        held_s = self._clock() - slot.since_s
+        name = state.route.name
+        if state.status == 200:
+            previous_s = self._work_s.get(name, held_s)
+            self._work_s[name] = previous_s + WORK_SMOOTHING * (
+                held_s - previous_s
+            )
+        self._reporter.report_freed(slot.book)
+
+    def _fall_back(self, state, excluded, choose, allocator_id, reason):
+        """Choose a server as entries without allocators do.
+
+        Raises:
+            Refused: this entry holds its share of the slots, or the servers
+                are full.
+        """
+        service = state.service.name
+        domain = self._allocators.home_domain(service)
+        total = sum(s.slots for s in self._allocators.servers(service, domain))
+        entries = max(1, len(self._allocators.entries(domain)))
+        share = max(1, math.ceil(total / entries))
+        held = self._reporter.count_held(service)
+        choice = choose(state, excluded) if held < share else None
+        breaker = self._reporter.breaker(allocator_id)
+        decisions.record(
+            'slot_fallback',
+            id=state.call.request_id,
+            service=service,
+            allocator=allocator_id,
+            reason=reason,
+            held=held,
+            share=share,
+            server=choice.server.server_id if choice is not None else '',
+            told_age_s=round(self._clock() - breaker.heard_s, 2),
+        )
+        if choice is None:
+            raise _refused(state, reason, FALLBACK_RETRY_AFTER_S)
+        book = self._reporter.book(service, choice.server.failure_domain)
+        return self._hold(book, next(self._hold_ids), choice, '', state)
+
+
+def _refused(state, reason, retry_after_s):
+    return errors.Refused(
+        'no_room',
+        503,
+        f'service {state.service.name} has no slot in time: {reason}',
+        'no',
+        retry_after_s,
+    )
+
+
+def _duration(value_s):
+    return min(messages.MAX_DURATION_S, max(0.0, value_s))
+
+
+def _reason(reply):
+    """Return why an entry chooses by itself after this last reply."""
+    if reply is None:
+        return 'silent'
+    return getattr(reply, 'reason', type(reply).__name__)
--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -55,19 +55,18 @@
         excluded: collections_abc.Set[str],
     ) -> balance.Choice | None:
         """Return the server for a request, or None if all are full."""
-        now_s = self._context.clock()
-        affinity = ''
-        if state.route.is_stream:
-            affinity = state.call.affinity
-        elif state.route.is_sticky:
-            affinity = state.call.object_key
         return self._context.balancer.choose(
             self._context.directory.ready(state.service.name),
-            affinity,
+            state.affinity,
             excluded,
-            now_s,
+            self._context.clock(),
         )
 
+    def uses_slots(self, state: request_state.RequestState) -> bool:
+        """Return whether the attempts of a request need slots."""
+        slots = self._context.slots
+        return slots is not None and slots.is_used(state.service.name)
+
     def capacity_refusal(
         self, state: request_state.RequestState
     ) -> errors.Refused:
@@ -97,27 +96,45 @@
         excluded: set[str] = set()
         while True:
             self._check_key(state)
-            choice = self.choose(state, excluded)
-            timeout_s = state.deadline_s - self._context.clock()
-            is_limit_reached = (
-                state.delivered_attempts >= state.route.attempt_limit
-            )
             if (
-                choice is None
-                or is_limit_reached
+                state.delivered_attempts >= state.route.attempt_limit
                 or state.attempts >= ATTEMPT_LIMIT
             ):
                 raise self._no_server_refusal(state)
-            if timeout_s < MIN_ATTEMPT_TIME_S:
-                raise TimeoutError
-            state.attempts += 1
-            excluded.add(choice.server.server_id)
-            state.load = choice.load
-            state.report_age_s = choice.report_age_s
-            if await self._attempt(
-                state, choice.server, body, timeout_s, deliver
-            ):
-                return
+            async with contextlib.AsyncExitStack() as stack:
+                choice = await self._acquire(state, excluded, stack)
+                if choice is None:
+                    raise self._no_server_refusal(state)
+                # The configuration may have changed while it waited.
+                self._check_key(state)
+                timeout_s = state.deadline_s - self._context.clock()
+                if timeout_s < MIN_ATTEMPT_TIME_S:
+                    raise TimeoutError
+                state.attempts += 1
+                excluded.add(choice.server.server_id)
+                state.load = choice.load
+                state.report_age_s = choice.report_age_s
+                if await self._attempt(
+                    state, choice.server, body, timeout_s, deliver
+                ):
+                    return
+
+    async def _acquire(self, state, excluded, stack):
+        """Return the server of an attempt, whose slot the stack frees.
+
+        Raises:
+            Refused: no slot is free in time.
+        """
+        if not self.uses_slots(state):
+            return self.choose(state, excluded)
+        try:
+            return await stack.enter_async_context(
+                self._context.slots.acquire(state, excluded, self.choose)
+            )
+        except errors.Refused as refused:
+            if state.may_have_run:
+                raise self._no_server_refusal(state) from refused
+            raise
 
     def _check_key(self, state):
         """Refuse a request whose key was revoked while it waited."""
@@ -266,6 +283,8 @@
             self._context.balancer.record_load(
                 server.server_id, response.metadata.load, self._context.clock()
             )
+            if self._context.slots is not None:
+                self._context.slots.record_load(server, response.metadata.load)
         if response.metadata.was_not_run:
             await response.body()
             # 421: not the chosen server, but another one at its address.
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -1,8 +1,12 @@
 """The entry role: an instance that serves callers of routed services."""
 
 import asyncio
+import functools
 
 from balsamdale import adapter
+from balsamdale import allocation
+from balsamdale import allocation_service
+from balsamdale import allocators
 from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import errors
@@ -34,6 +38,8 @@
 QUARANTINE_CRASH_LIMIT = 3
 # Histogram buckets, around the latency objectives.
 LATENCY_BOUNDS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0)
+# Histogram buckets of waits for slots, from one message to deadlines.
+WAIT_BOUNDS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 
 
 class EntryNode(node.Node):
@@ -64,6 +70,33 @@
         self.http_client = exchange.HttpClient(platform_adapter.wire_format)
         self.quarantine = quarantine.Quarantine(QUARANTINE_CRASH_LIMIT)
         self.links.serve(quarantine.ReportCrash, self._on_crash)
+        found_allocators = allocators.Allocators(
+            self.member_directory,
+            self.directory,
+            settings.failure_domain,
+            clocks.monotonic,
+        )
+        started_ms = int(clocks.wall() * 1000)
+        self.slot_service = allocation_service.SlotService(
+            self.links,
+            found_allocators,
+            clocks.monotonic,
+            started_ms,
+            lambda: self.member_directory.is_leaving,
+        )
+        self.slot_client = allocation.SlotClient(
+            self.links,
+            found_allocators,
+            self.directory,
+            settings.slot_allocation,
+            clocks.monotonic,
+            started_ms,
+            self.metrics.add_histogram(
+                'balsamdale_slot_wait_seconds',
+                'Time that an attempt waited for a slot',
+                WAIT_BOUNDS_S,
+            ),
+        )
         self.handler = serving.RequestHandler(
             request_state.Context(
                 table=lambda: self.table,
@@ -82,6 +115,7 @@
                     'Time from a request to the end of its answer',
                     LATENCY_BOUNDS_S,
                 ),
+                slots=self.slot_client,
             )
         )
         self.listener = listener.Listener(
@@ -110,11 +144,14 @@
             adapter.EntryStatus(self.is_ready, self._addresses),
         )
         self._background.spawn(self._run_expiry())
+        if self.settings.slot_allocation != 'off':
+            self._background.spawn(self.slot_client.run())
         await super().start()
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
         return {
             **super().gauges(),
+            **self._slot_gauges(),
             'requests_in_flight': (
                 'Requests of callers',
                 lambda: self.handler.in_flight,
@@ -133,6 +170,31 @@
             ),
         }
 
+    def _slot_gauges(self):
+        """Return the gauges of slots, asked for and allocated here."""
+        client, service = self.slot_client, self.slot_service
+        asked = {
+            f'slots_asked_{kind}': (
+                f'Attempts of this entry: {kind}',
+                functools.partial(client.counts.__getitem__, kind),
+            )
+            for kind in client.counts
+        }
+        decided = {
+            f'slots_decided_{kind}': (
+                f'Decisions of the allocators here: {kind}',
+                functools.partial(service.counts.__getitem__, kind),
+            )
+            for kind in service.counts
+        }
+        waiting = {
+            'slots_waiting': (
+                'Requests that wait for slots of the allocators here',
+                lambda: service.waiting,
+            )
+        }
+        return {**asked, **decided, **waiting}
+
     async def leave(self) -> None:
         self.listener.is_leaving = True
         await super().leave()
@@ -148,6 +210,8 @@
         await self.listener.close()
         await self._stop_platform_endpoints()
         await self.http_client.close()
+        self.slot_client.close()
+        self.slot_service.close()
         await super().close()
 
     def is_ready(self) -> bool:
--- a/balsamdale/node_settings.py
+++ b/balsamdale/node_settings.py
@@ -31,6 +31,9 @@
         account_retention_s: how long the token account of a program is kept
             after the program's deadline and the retention of its turns.
         metrics_address: IP address and port for metrics; empty for none.
+        slot_allocation: whether entries ask allocators for slots: 'on' for
+            all services, 'off' for none, 'auto' for those whose servers
+            report a slowdown; entries only.
     """
 
     instance_id: str
@@ -49,6 +52,7 @@
     registry_keep_s: float = 2.0
     account_retention_s: float = 120.0
     metrics_address: str = ''
+    slot_allocation: typing.Literal['auto', 'on', 'off'] = 'auto'
 
 
 REQUIRED_KEYS = {
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections import abc as collections_abc
+import contextlib
 import dataclasses
 import hashlib
 
@@ -16,10 +17,12 @@
 from balsamdale import wire
 
 __all__ = [
+    'Choose',
     'Context',
     'RecordIds',
     'RequestState',
     'Responder',
+    'SlotSource',
     'digest',
     'record_ids',
 ]
@@ -60,6 +63,45 @@
         """Close the connection, so that the response is seen as cut short."""
 
 
+class SlotSource(abc.ABC):
+    """Provides each attempt with a slot of a backend server."""
+
+    @abc.abstractmethod
+    def is_used(self, service: str) -> bool:
+        """Return whether requests of a service need a slot."""
+
+    @abc.abstractmethod
+    def acquire(
+        self,
+        state: 'RequestState',
+        excluded: collections_abc.Set[str],
+        choose: 'Choose',
+    ) -> contextlib.AbstractAsyncContextManager[balance.Choice]:
+        """Hold a slot for an attempt; it is freed at the end.
+
+        Args:
+            state: the request.
+            excluded: ids of servers that must not be chosen.
+            choose: chooses by this entry's own view, for use while no
+                allocator replies.
+
+        Raises:
+            Refused: there is none in time; the attempt must not be made.
+        """
+
+    @abc.abstractmethod
+    def record_load(
+        self, server: discovery.Server, load: wire.LoadReport
+    ) -> None:
+        """Record the load that a server reported."""
+
+    @abc.abstractmethod
+    def record_outcome(
+        self, server: discovery.Server, outcome: balance.Outcome
+    ) -> None:
+        """Record how an attempt at a server ended."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Context:
     """The parts of an instance that requests are served with.
@@ -79,6 +121,7 @@
         quarantine: digests of requests that crashed backend servers.
         report_crash: sends a crash report to the peers.
         record_latency: records how long a request took, by its outcome.
+        slots: provides attempts with slots; None if no service needs them.
     """
 
     table: collections_abc.Callable[[], routes.RouteTable | None]
@@ -93,6 +136,7 @@
     quarantine: quarantine.Quarantine
     report_crash: collections_abc.Callable[[quarantine.ReportCrash], None]
     record_latency: metrics.RecordValue
+    slots: SlotSource | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,6 +179,9 @@
         reader: reads the events of a streamed response.
         workspace: the workspace of the caller's key; None without one.
         record_ids: ids of its stored turn and account.
+        waited_s: time that its attempts have waited for slots.
+        allocator: instance that allocated the latest slot; empty if none
+            did.
     """
 
     call: wire.Call
@@ -158,6 +205,15 @@
     )
     workspace: routes.Workspace | None = None
     record_ids: RecordIds = RecordIds('', '', '')
+    waited_s: float = 0.0
+    allocator: str = ''
+
+    @property
+    def affinity(self) -> str:
+        """Key that selects the preferred server; empty for none."""
+        if self.route.is_stream:
+            return self.call.affinity
+        return self.call.object_key if self.route.is_sticky else ''
 
     @property
     def priority(self) -> int:
@@ -167,6 +223,11 @@
         return self.workspace.priority
 
 
+Choose = collections_abc.Callable[
+    [RequestState, collections_abc.Set[str]], balance.Choice | None
+]
+
+
 def record_ids(
     call: wire.Call,
     table: routes.RouteTable,
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -232,7 +232,12 @@
         self._cache.add((turn,))
 
     def _check_capacity(self, state):
-        """Refuse a turn if all servers are full, before reserving tokens."""
+        """Refuse a turn if all servers are full, before reserving tokens.
+
+        Where slots are allocated, only the allocator knows.
+        """
+        if self._attempts.uses_slots(state):
+            return
         choice = self._attempts.choose(state, frozenset())
         if choice is None:
             raise self._attempts.capacity_refusal(state)
@@ -325,6 +330,9 @@
                 events=state.reader.count,
                 **state.stage_times_s,
             )
+            if self._attempts.uses_slots(state):
+                fields['waited_s'] = round(state.waited_s, 4)
+                fields['allocator'] = state.allocator
         fields['took_s'] = round(took_s, 4)
         decisions.record('request', **fields)
 
