--- a/balsamdale/allocation.py
+++ b/balsamdale/allocation.py
@@ -31,6 +31,8 @@
 # Time for the first reply of an allocator: many round trips of 0.4 ms, and
 # short against the objectives of 68 ms and more.
 REPLY_TIMEOUT_S = 0.04
+# Part of a timeout that is left for reading a reply that has arrived.
+READ_TIME_SHARE = 0.25
 # Silence while a request waits; three keepalives of the allocator.
 QUEUED_SILENCE_S = 0.3
 # Allocators that one attempt may ask: that of the domain, its successor if
@@ -226,8 +228,7 @@
         timeout_s = REPLY_TIMEOUT_S
         try:
             while reply is None or isinstance(reply, messages.SlotQueued):
-                async with asyncio.timeout(timeout_s):
-                    reply = await anext(replies)
+                reply = await _next_reply(replies, timeout_s)
                 breaker.record_reply(self._clock())
                 self._reporter.note_reply(book, reply)
                 timeout_s = QUEUED_SILENCE_S
@@ -336,7 +337,7 @@
         service = state.service.name
         domain = self._allocators.home_domain(service)
         total = sum(s.slots for s in self._allocators.servers(service, domain))
-        entries = max(1, len(self._allocators.entries(domain)))
+        entries = max(1, self._allocators.count_asking(service, domain))
         share = max(1, math.ceil(total / entries))
         held = self._reporter.count_held(service)
         choice = choose(state, excluded) if held < share else None
@@ -368,6 +369,28 @@
     )
 
 
+async def _next_reply(replies, timeout_s):
+    """Return the next reply.
+
+    The last part of the time is waited for separately: a loop that was busy
+    until the first part ended has had no time to read a reply.
+
+    Raises:
+        TimeoutError: none came in time.
+    """
+    pending = asyncio.ensure_future(anext(replies))
+    try:
+        for part in (1 - READ_TIME_SHARE, READ_TIME_SHARE):
+            await asyncio.wait({pending}, timeout=part * timeout_s)
+            if pending.done():
+                return pending.result()
+        raise TimeoutError
+    finally:
+        if not pending.done():
+            pending.cancel()
+            await asyncio.wait({pending})
+
+
 def _duration(value_s):
     return min(messages.MAX_DURATION_S, max(0.0, value_s))
 
--- a/balsamdale/allocators.py
+++ b/balsamdale/allocators.py
@@ -71,6 +71,18 @@
         local = [e for e in entries if e.failure_domain == failure_domain]
         return tuple(sorted(e.instance_id for e in local or entries))
 
+    def count_asking(self, service: str, failure_domain: str) -> int:
+        """Return how many entries may ask for slots of a domain.
+
+        Those of domains without a server of the service count for each.
+        """
+        served = self.domains(service)
+        return sum(
+            e.failure_domain == failure_domain
+            or e.failure_domain not in served
+            for e in self._members.entries()
+        )
+
     def find(self, service: str, failure_domain: str) -> str:
         """Return the allocator's instance id; empty if there is none."""
         names = self.entries(failure_domain)
--- a/balsamdale/scheduling/slots.py
+++ b/balsamdale/scheduling/slots.py
@@ -203,9 +203,12 @@
         if report.sequence <= entry.sequence:
             return False
         entry.sequence, entry.heard_s = report.sequence, now_s
-        entry.live = frozenset(
+        live = frozenset(
             (*(hold.hold_id for hold in report.held), *report.awaited)
         )
+        for hold_id in entry.live - live:
+            self._admission.remove((report.entry_id, hold_id))
+        entry.live = live
         for hold_id in entry.holds.keys() - entry.live:
             self._end(entry, hold_id, now_s)
         for hold in report.held:
