Pass over servers that entries cannot connect to

The allocator gave the free slots of a dead server to one request after the other until its registration ended. Entries now name servers that they cannot reach in their reports. Tested in tests/scheduling/test_slots.py.

--- a/balsamdale/allocation.py
+++ b/balsamdale/allocation.py
@@ -23,7 +23,7 @@
 from balsamdale import metrics
 from balsamdale import request_state
 from balsamdale.scheduling import balance
-from balsamdale.scheduling import slots
+from balsamdale.scheduling import slot_reports
 from balsamdale import wire
 
 __all__ = ['SlotClient']
@@ -130,6 +130,18 @@
             book = self._reporter.book(server.service, server.failure_domain)
             book.outcomes.append((server.server_id, outcome))
 
+    def record_reachable(
+        self, server: discovery.Server, is_reachable: bool
+    ) -> None:
+        if not self.is_used(server.service):
+            return
+        book = self._reporter.book(server.service, server.failure_domain)
+        if is_reachable:
+            book.unreachable.discard(server.server_id)
+        else:
+            book.unreachable.add(server.server_id)
+        self._reporter.report_freed(book)
+
     @contextlib.asynccontextmanager
     async def acquire(
         self,
@@ -303,7 +315,7 @@
 
     def _hold(self, book, hold_id, choice, allocator_id, state):
         call = state.call
-        book.held[hold_id] = slots.Hold(
+        book.held[hold_id] = slot_reports.Hold(
             hold_id,
             choice.server.server_id,
             call.prompt_tokens + call.answer_tokens,
--- a/balsamdale/allocation_messages.py
+++ b/balsamdale/allocation_messages.py
@@ -5,7 +5,7 @@
 
 from balsamdale import codec
 from balsamdale.scheduling import admission
-from balsamdale.scheduling import slots
+from balsamdale.scheduling import slot_reports
 
 __all__ = [
     'AllocateSlot',
@@ -44,7 +44,7 @@
 
     service: str
     failure_domain: str
-    report: slots.Report
+    report: slot_reports.Report
     hold_id: int
     request_id: str
     remaining_s: float
@@ -114,7 +114,7 @@
 
     service: str
     failure_domain: str
-    report: slots.Report
+    report: slot_reports.Report
 
 
 @codec.message
@@ -137,14 +137,14 @@
 
     service: str
     failure_domain: str
-    load: slots.DomainLoad
+    load: slot_reports.DomainLoad
 
 
 @codec.message
 class DomainLoadNoted:
     """Reply to a reported load: that of the receiver; None if unknown."""
 
-    load: slots.DomainLoad | None
+    load: slot_reports.DomainLoad | None
 
 
 @functools.singledispatch
--- a/balsamdale/holdings.py
+++ b/balsamdale/holdings.py
@@ -17,7 +17,7 @@
 from balsamdale import decisions
 from balsamdale import errors
 from balsamdale import link
-from balsamdale.scheduling import slots
+from balsamdale.scheduling import slot_reports
 from balsamdale import wire
 
 __all__ = ['Breaker', 'Holdings', 'Reporter']
@@ -65,7 +65,9 @@
     service: str
     failure_domain: str
     sequence: int = 0
-    held: dict[int, slots.Hold] = dataclasses.field(default_factory=dict)
+    held: dict[int, slot_reports.Hold] = dataclasses.field(
+        default_factory=dict
+    )
     awaited: set[int] = dataclasses.field(default_factory=set)
     loads: dict[str, tuple[wire.LoadReport, float]] = dataclasses.field(
         default_factory=dict
@@ -73,6 +75,7 @@
     outcomes: collections.deque = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=OUTCOME_LIMIT)
     )
+    unreachable: set[str] = dataclasses.field(default_factory=set)
     sent_at_s: float = -math.inf
     sent_to: str = ''
     incarnation: int = 0
@@ -84,12 +87,13 @@
         self.sequence += 1
         self.sent_at_s, self.sent_to = now_s, receiver_id
         self.is_changed = False
-        report = slots.Report(
+        report = slot_reports.Report(
             entry_id,
             started_ms,
             self.sequence,
             tuple(self.held.values()),
             tuple(self.awaited),
+            tuple(self.unreachable),
             tuple(
                 (server_id, load, max(0.0, now_s - at_s))
                 for server_id, (load, at_s) in self.loads.items()
@@ -145,7 +149,7 @@
             if book.service == service
         )
 
-    def report(self, book: Holdings, receiver_id: str) -> slots.Report:
+    def report(self, book: Holdings, receiver_id: str) -> slot_reports.Report:
         """Return a report for an allocator, and note it as sent."""
         return book.report(
             self._links.instance_id,
@@ -181,7 +185,7 @@
                 )
                 is_new = receiver_id != book.sent_to
                 is_due = now_s - book.sent_at_s >= REFRESH_INTERVAL_S
-                holds = book.held or book.awaited
+                holds = book.held or book.awaited or book.unreachable
                 if book.is_changed or (holds and (is_new or is_due)):
                     self._background.spawn(self._send(book, receiver_id))
 
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -101,6 +101,12 @@
     ) -> None:
         """Record how an attempt at a server ended."""
 
+    @abc.abstractmethod
+    def record_reachable(
+        self, server: discovery.Server, is_reachable: bool
+    ) -> None:
+        """Record that a server accepts no connections, or does again."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Context:
--- a/balsamdale/scheduling/slots.py
+++ b/balsamdale/scheduling/slots.py
@@ -12,15 +12,12 @@
 from balsamdale import discovery
 from balsamdale.scheduling import admission
 from balsamdale.scheduling import balance
-from balsamdale import wire
+from balsamdale.scheduling import slot_reports
 
 __all__ = [
     'Decision',
-    'DomainLoad',
     'Elsewhere',
     'Granted',
-    'Hold',
-    'Report',
     'SlotAllocator',
 ]
 
@@ -36,60 +33,13 @@
 # Expected wait that is accepted rather than sending a request to another
 # domain: the way there and back, and the traffic that is charged for.
 CROSSING_COST_S = 0.03
+# Entries that must fail to connect to a server before it is passed over for
+# all of them; a single one may be cut off itself.
+MIN_UNREACHABLE_FOR = 2
 # Age at which the load of another domain's allocator no longer counts.
 DOMAIN_LOAD_EXPIRY_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True)
-class Hold:
-    """A slot that an entry holds, by the entry's own number."""
-
-    hold_id: int
-    server_id: str
-    tokens: int = 0
-
-
-@dataclasses.dataclass(frozen=True)
-class Report:
-    """What an entry holds and has observed.
-
-    Attributes:
-        entry_id: the entry.
-        started_ms: start of the entry, since the Unix epoch.
-        sequence: number of the report, rising from 1 at each start.
-        held: all slots that it holds at servers of the allocator.
-        awaited: numbers of the slots that it waits for.
-        loads: load reports of servers since the last report, by server, and
-            the age of each in seconds.
-        outcomes: outcomes at servers since the last report.
-    """
-
-    entry_id: str
-    started_ms: int
-    sequence: int
-    held: tuple[Hold, ...] = ()
-    awaited: tuple[int, ...] = ()
-    loads: tuple[tuple[str, wire.LoadReport, float], ...] = ()
-    outcomes: tuple[tuple[str, balance.Outcome], ...] = ()
-
-
-@dataclasses.dataclass(frozen=True)
-class DomainLoad:
-    """Load of a service in a failure domain, for the other allocators.
-
-    Attributes:
-        failure_domain: the domain.
-        free_slots: slots that are not held.
-        wait_s: expected wait of a new request.
-        freed_per_s: slots that are freed per second while all are held.
-    """
-
-    failure_domain: str
-    free_slots: int
-    wait_s: float
-    freed_per_s: float
-
-
 @dataclasses.dataclass(frozen=True)
 class Granted:
     """A request has got a slot of a server."""
@@ -117,6 +67,7 @@
     sequence: int = 0
     heard_s: float = 0.0
     live: frozenset[int] = frozenset()
+    unreachable: frozenset[str] = frozenset()
     holds: dict[int, '_Held'] = dataclasses.field(default_factory=dict)
 
 
@@ -153,10 +104,11 @@
         self._failure_domain = failure_domain
         self._balancer = balance.Balancer(failure_domain, QUEUED_PER_SLOT)
         self._admission = admission.Admission()
+        self._registered: tuple[discovery.Server, ...] = ()
         self._servers: tuple[discovery.Server, ...] = ()
         self._entries: dict[str, _Entry] = {}
         self._counts: dict[str, _ServerCount] = {}
-        self._domains: dict[str, tuple[DomainLoad, float]] = {}
+        self._domains: dict[str, tuple[slot_reports.DomainLoad, float]] = {}
 
     def is_waiting(self, key: tuple[str, int]) -> bool:
         """Return whether a request waits for a slot."""
@@ -174,10 +126,10 @@
 
     def set_servers(self, servers: tuple[discovery.Server, ...]) -> None:
         """Set the servers of the domain that accept requests."""
-        if servers == self._servers:
+        if servers == self._registered:
             return
-        self._servers = servers
-        self._admission.set_slots(sum(max(1, s.slots) for s in servers))
+        self._registered = servers
+        self._select_servers()
         ids = {s.server_id for s in servers}
         self._balancer.remove_departed(ids)
         for server_id in [
@@ -187,7 +139,7 @@
         ]:
             del self._counts[server_id]
 
-    def record(self, report: Report, now_s: float) -> bool:
+    def record(self, report: slot_reports.Report, now_s: float) -> bool:
         """Record a report of an entry; return False if it is out of date.
 
         A slot that the report no longer names has been freed: an entry names
@@ -209,6 +161,9 @@
         for hold_id in entry.live - live:
             self._admission.remove((report.entry_id, hold_id))
         entry.live = live
+        if entry.unreachable != set(report.unreachable):
+            entry.unreachable = frozenset(report.unreachable)
+            self._select_servers()
         for hold_id in entry.holds.keys() - entry.live:
             self._end(entry, hold_id, now_s)
         for hold in report.held:
@@ -222,7 +177,9 @@
         self._observe(report, now_s)
         return True
 
-    def record_domain(self, load: DomainLoad, now_s: float) -> None:
+    def record_domain(
+        self, load: slot_reports.DomainLoad, now_s: float
+    ) -> None:
         """Record the load that the allocator of another domain reported."""
         if load.failure_domain != self._failure_domain:
             self._domains[load.failure_domain] = load, now_s
@@ -243,7 +200,8 @@
             return [admission.Refusal(request, 'stale', 0.0, 0.0, 0)]
         if request.key in self._admission:
             return []
-        if not any(s.server_id not in request.excluded for s in self._servers):
+        excluded = request.excluded | entry.unreachable
+        if not any(s.server_id not in excluded for s in self._servers):
             return [self._redirect(request, now_s) or self._refuse(request)]
         self._admission.add(request, now_s)
         decisions = self._allocate(now_s)
@@ -279,6 +237,7 @@
             if now_s - entry.heard_s > HOLDINGS_EXPIRY_S:
                 self._drop(entry, now_s)
                 del self._entries[entry_id]
+                self._select_servers()
         if not len(self._admission):
             return []
         decisions = self._allocate(now_s)
@@ -289,14 +248,14 @@
             )
         return decisions + self._admission.refuse_late(now_s)
 
-    def domain_load(self, now_s: float) -> DomainLoad:
+    def domain_load(self, now_s: float) -> slot_reports.DomainLoad:
         """Return the load of this domain."""
         free = self._free_slots(now_s)
         freed_per_s = self._admission.freed_per_s
         wait_s = 0.0
         if free <= 0 or self.waiting:
             wait_s = (self.waiting + 1) / max(freed_per_s, 0.001)
-        return DomainLoad(
+        return slot_reports.DomainLoad(
             self._failure_domain, free, round(wait_s, 2), freed_per_s
         )
 
@@ -326,8 +285,12 @@
 
     def _choose(self, request, now_s):
         """Return the server for a request, or None if all are full."""
+        entry = self._entries[request.entry_id]
         return self._balancer.choose(
-            self._servers, request.affinity, request.excluded, now_s
+            self._servers,
+            request.affinity,
+            request.excluded | entry.unreachable,
+            now_s,
         )
 
     def _redirect(self, request, now_s, start_s=float('inf')):
@@ -379,7 +342,7 @@
         )
 
     def _observe(self, report, now_s):
-        known_ids = {s.server_id for s in self._servers}
+        known_ids = {s.server_id for s in self._registered}
         for server_id, load, age_s in report.loads:
             if server_id not in known_ids:
                 continue
@@ -395,8 +358,27 @@
             if server_id in known_ids:
                 self._balancer.record_outcome(server_id, outcome, now_s)
 
+    def _select_servers(self):
+        """Select the registered servers that entries can connect to."""
+        counts = collections.Counter(
+            server_id
+            for entry in self._entries.values()
+            for server_id in entry.unreachable
+        )
+        reachable = tuple(
+            s
+            for s in self._registered
+            if counts[s.server_id] < MIN_UNREACHABLE_FOR
+        )
+        self._servers = reachable or self._registered
+        self._admission.set_slots(sum(max(1, s.slots) for s in self._servers))
+
     def _begin(self, entry, hold_id, held, now_s):
         entry.holds[hold_id] = held
+        if held.grant is not None:
+            # Also tells the balancer that its choice was followed; the
+            # count itself is set below.
+            self._balancer.add_request(held.server_id, held.tokens)
         self._change(held, 1, now_s)
 
     def _end(self, entry, hold_id, now_s):
--- a/tests/scheduling/test_slots.py
+++ b/tests/scheduling/test_slots.py
@@ -12,6 +12,7 @@
 
 from balsamdale.scheduling import admission
 from balsamdale.scheduling import balance
+from balsamdale.scheduling import slot_reports
 from balsamdale.scheduling import slots
 from balsamdale import wire
 from tests import builders_routed as builders
@@ -99,7 +100,7 @@
 
     def _report(self, entry_id, now_s):
         self._sequences[entry_id] += 1
-        report = slots.Report(
+        report = slot_reports.Report(
             entry_id,
             1,
             self._sequences[entry_id],
@@ -134,7 +135,7 @@
             self._awaited[entry_id].discard(hold_id)
             if isinstance(decision, slots.Granted):
                 fate.started_s = now_s
-                self._held[entry_id][hold_id] = slots.Hold(
+                self._held[entry_id][hold_id] = slot_reports.Hold(
                     hold_id, decision.choice.server.server_id
                 )
                 end_s = now_s + self._generator.uniform(0.2, 0.5)
@@ -281,7 +282,9 @@
 
 def ask(allocator, hold_id, now_s=0.0, sequence=None, held=(), **fields):
     """Report as entry e0, which awaits one slot, and ask for it."""
-    report = slots.Report('e0', 1, sequence or hold_id, held, (hold_id,))
+    report = slot_reports.Report(
+        'e0', 1, sequence or hold_id, held, (hold_id,)
+    )
     allocator.record(report, now_s)
     request = admission.SlotRequest(
         'e0', hold_id, now_s, now_s + 2.0, **fields
@@ -308,7 +311,7 @@
     """Guards against doubling a server's load under two allocators."""
     allocator = single(slots_=2)
     load = wire.LoadReport(2, 1, 2)
-    report = slots.Report('e1', 1, 1, loads=(('s0', load, 0.0),))
+    report = slot_reports.Report('e1', 1, 1, loads=(('s0', load, 0.0),))
     allocator.record(report, 0.0)
     assert not ask(allocator, 1)
     assert [type(d) for d in allocator.advance(0.6)] == [slots.Granted]
@@ -317,18 +320,18 @@
 def test_report_of_requests_that_have_ended_takes_no_capacity():
     allocator = single(slots_=2)
     for hold_id in (1, 2):
-        held = tuple(slots.Hold(n, 's0') for n in range(1, hold_id))
+        held = tuple(slot_reports.Hold(n, 's0') for n in range(1, hold_id))
         ask(allocator, hold_id, held=held)
-    allocator.record(slots.Report('e0', 1, 3), 0.3)
+    allocator.record(slot_reports.Report('e0', 1, 3), 0.3)
     load = (('s0', wire.LoadReport(2, 0, 2), 0.0),)
-    allocator.record(slots.Report('e1', 1, 1, loads=load), 0.31)
+    allocator.record(slot_reports.Report('e1', 1, 1, loads=load), 0.31)
     assert ask(allocator, 4, 0.32)
-    assert ask(allocator, 5, 0.32, held=(slots.Hold(4, 's0'),))
+    assert ask(allocator, 5, 0.32, held=(slot_reports.Hold(4, 's0'),))
 
 
 def test_server_that_is_not_known_cannot_be_reported():
     allocator = single()
-    report = slots.Report(
+    report = slot_reports.Report(
         'e1',
         1,
         1,
@@ -342,8 +345,8 @@
 def test_full_domain_sends_requests_to_another_that_starts_earlier():
     allocator = single()
     ask(allocator, 1)
-    held = (slots.Hold(1, 's0'),)
-    allocator.record_domain(slots.DomainLoad('b', 1, 0.0, 10.0), 0.0)
+    held = (slot_reports.Hold(1, 's0'),)
+    allocator.record_domain(slot_reports.DomainLoad('b', 1, 0.0, 10.0), 0.0)
     (decision,) = ask(allocator, 2, held=held)
     assert decision.failure_domain == 'b'
     # That slot is taken now, and the next start there is 0.1 s later.
@@ -354,6 +357,38 @@
     assert not ask(allocator, 5, later_s, held=held, is_in_progress=True)
 
 
+def test_server_that_entries_cannot_reach_is_passed_over():
+    """Guards against a dead server that takes the requests of all."""
+    allocator = slots.SlotAllocator('a')
+    servers = tuple(builders.server(n, slots=1) for n in ('s0', 's1'))
+    allocator.set_servers(servers)
+
+    def report(entry_id, sequence, unreachable):
+        allocator.record(
+            slot_reports.Report(
+                entry_id, 1, sequence, unreachable=unreachable
+            ),
+            0.0,
+        )
+
+    report('e1', 1, ('s0',))
+    assert allocator.domain_load(0.0).free_slots == 2
+    report('e2', 1, ('s0',))
+    assert allocator.domain_load(0.0).free_slots == 1
+    (granted,) = ask(allocator, 1)
+    assert granted.choice.server.server_id == 's1'
+    report('e2', 2, ())
+    held = (slot_reports.Hold(1, 's1'),)
+    # One entry alone may be cut off, so others still get the server.
+    (granted,) = ask(allocator, 2, held=held)
+    assert granted.choice.server.server_id == 's0'
+    # Nobody can reach any server: any may be tried.
+    report('e1', 2, ('s0', 's1'))
+    report('e2', 3, ('s0', 's1'))
+    allocator.record(slot_reports.Report('e0', 1, 3), 0.0)
+    assert isinstance(ask(allocator, 4)[0], slots.Granted)
+
+
 def test_request_whose_servers_are_all_excluded_is_refused():
     (refusal,) = ask(single(), 1, excluded=frozenset({'s0'}))
     assert refusal.reason == 'no_server'
@@ -398,11 +433,11 @@
         entry = world[entry_id]
         entry['sequence'] += 1
         held = [h for h, granted_by in entry['live'].items() if granted_by]
-        return slots.Report(
+        return slot_reports.Report(
             entry_id,
             entry['start'],
             entry['sequence'],
-            tuple(slots.Hold(h, 's0') for h in held),
+            tuple(slot_reports.Hold(h, 's0') for h in held),
             tuple(entry['live'].keys() - set(held)),
         )
 
--- a/tests/test_allocation.py
+++ b/tests/test_allocation.py
@@ -19,6 +19,7 @@
 from balsamdale import request_state
 from balsamdale import routes
 from balsamdale.scheduling import balance
+from balsamdale.scheduling import slot_reports
 from balsamdale.scheduling import slots
 from balsamdale import wire
 from tests import builders_routed as builders
@@ -283,15 +284,19 @@
 async def test_malformed_message_changes_no_state():
     site = Site()
     await site.hold(0.0)
-    report = slots.Report('e1', 1, 99, (slots.Hold(1, 's0', -5),))
+    report = slot_reports.Report(
+        'e1', 1, 99, (slot_reports.Hold(1, 's0', -5),)
+    )
     bad = [
         messages.SlotsHeld('s', 'a', report),
-        messages.AllocateSlot('s', 'a', slots.Report('e1', 1, 99), 1, 'q', -1),
         messages.AllocateSlot(
-            's', 'a', slots.Report('e1', 1, 99), 1, 'q', 1.0, rank=-1
+            's', 'a', slot_reports.Report('e1', 1, 99), 1, 'q', -1
+        ),
+        messages.AllocateSlot(
+            's', 'a', slot_reports.Report('e1', 1, 99), 1, 'q', 1.0, rank=-1
         ),
         messages.ReportDomainLoad(
-            's', 'a', slots.DomainLoad('b', 1, float('nan'), 1.0)
+            's', 'a', slot_reports.DomainLoad('b', 1, float('nan'), 1.0)
         ),
     ]
     for message in bad:
