Leave ejected servers out of the slots that are expected to be freed

The expected start counted slots of servers that the balancer does not choose, so requests were admitted and refused later. Takes effect with the detection of outliers.

--- a/balsamdale/scheduling/slots.py
+++ b/balsamdale/scheduling/slots.py
@@ -106,6 +106,7 @@
         self._admission = admission.Admission()
         self._registered: tuple[discovery.Server, ...] = ()
         self._servers: tuple[discovery.Server, ...] = ()
+        self._healthy: tuple[discovery.Server, ...] = ()
         self._entries: dict[str, _Entry] = {}
         self._counts: dict[str, _ServerCount] = {}
         self._domains: dict[str, tuple[slot_reports.DomainLoad, float]] = {}
@@ -262,6 +263,7 @@
     def _allocate(self, now_s):
         """Allocate free slots to waiting requests in their order."""
         granted = []
+        self._select_healthy(now_s)
         if not self._has_room(now_s):
             return granted
         for request in self._admission.ordered(now_s):
@@ -327,17 +329,32 @@
             request, 'no_server', admission.DEFAULT_WORK_S, 0.0, 0
         )
 
+    def _select_healthy(self, now_s):
+        """Count only the slots of servers that are not ejected."""
+        # Part of the balancer where it judges servers by outcomes.
+        detector = getattr(self._balancer, 'outliers', None)
+        ejected = set()
+        if detector is not None and self._servers:
+            ejected = detector.ejected(
+                self._servers[0].service,
+                [s.server_id for s in self._servers],
+                now_s,
+            )
+        healthy = tuple(s for s in self._servers if s.server_id not in ejected)
+        self._healthy = healthy or self._servers
+        self._admission.set_slots(sum(max(1, s.slots) for s in self._healthy))
+
     def _has_room(self, now_s):
         return any(
             self._balancer.estimate_load(s, now_s) < s.slots
-            for s in self._servers
+            for s in self._healthy
         )
 
     def _free_slots(self, now_s):
         return int(
             sum(
                 max(0.0, s.slots - self._balancer.estimate_load(s, now_s))
-                for s in self._servers
+                for s in self._healthy
             )
         )
 
@@ -370,7 +387,7 @@
             for s in self._registered
             if counts[s.server_id] < MIN_UNREACHABLE_FOR
         )
-        self._servers = reachable or self._registered
+        self._servers = self._healthy = reachable or self._registered
         self._admission.set_slots(sum(max(1, s.slots) for s in self._servers))
 
     def _begin(self, entry, hold_id, held, now_s):
