--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -63,18 +63,13 @@
     ) -> balance.Choice | None:
         """Return the server for a request, or None if all are full."""
         now_s = self._context.clock()
-        affinity = ''
-        if state.route.is_stream:
-            affinity = state.call.affinity
-        elif state.route.is_sticky:
-            affinity = state.call.object_key
         servers = self._context.directory.ready(state.service.name)
         balancer = self._context.balancer
         if not balancer.reports_slowdown(servers):
-            return balancer.choose(servers, affinity, excluded, now_s)
+            return balancer.choose(servers, state.affinity, excluded, now_s)
         return balancer.choose(
             servers,
-            affinity,
+            state.affinity,
             excluded,
             now_s,
             prompt_tokens=state.call.prompt_tokens,
@@ -84,6 +79,11 @@
             and state.delivered_attempts + 1 < state.route.attempt_limit,
         )
 
+    def uses_slots(self, state: request_state.RequestState) -> bool:
+        """Return whether the attempts of a request need slots."""
+        slots = self._context.slots
+        return slots is not None and slots.is_used(state.service.name)
+
     def capacity_refusal(
         self, state: request_state.RequestState
     ) -> errors.Refused:
@@ -113,29 +113,47 @@
         excluded: set[str] = set()
         while True:
             self._check_key(state)
-            choice = self.choose(state, excluded)
-            timeout_s = state.deadline_s - self._context.clock()
-            is_limit_reached = (
-                state.delivered_attempts >= state.route.attempt_limit
-            )
             if (
-                choice is None
-                or is_limit_reached
+                state.delivered_attempts >= state.route.attempt_limit
                 or state.attempts >= ATTEMPT_LIMIT
                 or not self._is_within_budget(state)
             ):
                 raise self._no_server_refusal(state)
-            if timeout_s < MIN_ATTEMPT_TIME_S:
-                raise TimeoutError
-            state.attempts += 1
-            excluded.add(choice.server.server_id)
-            state.load = choice.load
-            state.report_age_s = choice.report_age_s
-            state.chosen_by = choice.factor
-            if await self._attempt(
-                state, choice.server, body, timeout_s, deliver
-            ):
-                return
+            async with contextlib.AsyncExitStack() as stack:
+                choice = await self._acquire(state, excluded, stack)
+                if choice is None:
+                    raise self._no_server_refusal(state)
+                # The configuration may have changed while it waited.
+                self._check_key(state)
+                timeout_s = state.deadline_s - self._context.clock()
+                if timeout_s < MIN_ATTEMPT_TIME_S:
+                    raise TimeoutError
+                state.attempts += 1
+                excluded.add(choice.server.server_id)
+                state.load = choice.load
+                state.report_age_s = choice.report_age_s
+                state.chosen_by = choice.factor
+                if await self._attempt(
+                    state, choice.server, body, timeout_s, deliver
+                ):
+                    return
+
+    async def _acquire(self, state, excluded, stack):
+        """Return the server of an attempt, whose slot the stack frees.
+
+        Raises:
+            Refused: no slot is free in time.
+        """
+        if not self.uses_slots(state):
+            return self.choose(state, excluded)
+        try:
+            return await stack.enter_async_context(
+                self._context.slots.acquire(state, excluded, self.choose)
+            )
+        except errors.Refused as refused:
+            if state.may_have_run:
+                raise self._no_server_refusal(state) from refused
+            raise
 
     def _is_within_budget(self, state):
         """Count an attempt; return whether the retry budget allows it.
@@ -293,6 +311,8 @@
                 server=server.server_id,
                 reason=reason,
             )
+            if self._context.slots is not None:
+                self._context.slots.record_reachable(server, False)
             self._background.spawn(self._check_recovery(server))
 
     async def _check_recovery(self, server):
@@ -303,6 +323,8 @@
             if await context.http_client.is_reachable(server.address):
                 break
         context.balancer.mark_healthy(server.server_id)
+        if context.slots is not None:
+            context.slots.record_reachable(server, True)
         decisions.record('server_recovered', server=server.server_id)
 
     async def _receive_response(self, state, server, response, deliver):
@@ -334,6 +356,8 @@
             context.balancer.record_load(
                 server.server_id, metadata.load, context.clock()
             )
+            if context.slots is not None:
+                context.slots.record_load(server, metadata.load)
         if metadata.is_load_malformed:
             count = context.balancer.ignore_report(server.server_id)
             # Logged when the count doubles: a faulty server repeats its
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -1,8 +1,12 @@
 """The entry role: an instance that serves callers of routed services."""
 
 import asyncio
+import functools
 
 from balsamdale import adapter
+from balsamdale import allocation
+from balsamdale import allocation_service
+from balsamdale import allocators
 from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import errors
@@ -36,6 +40,8 @@
 QUARANTINE_CRASH_LIMIT = 3
 # Histogram buckets, around the latency objectives.
 LATENCY_BOUNDS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0)
+# Histogram buckets of waits for slots, from one message to deadlines.
+WAIT_BOUNDS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 
 
 class EntryNode(node.Node):
@@ -86,6 +92,33 @@
             self.links, self._limiter_names, clocks.monotonic
         )
         self.links.serve(discovery.ReportLeaving, self._on_leaving)
+        found_allocators = allocators.Allocators(
+            self.member_directory,
+            self.directory,
+            settings.failure_domain,
+            clocks.monotonic,
+        )
+        started_ms = int(clocks.wall() * 1000)
+        self.slot_service = allocation_service.SlotService(
+            self.links,
+            found_allocators,
+            clocks.monotonic,
+            started_ms,
+            lambda: self.member_directory.is_leaving,
+        )
+        self.slot_client = allocation.SlotClient(
+            self.links,
+            found_allocators,
+            self.directory,
+            settings.slot_allocation,
+            clocks.monotonic,
+            started_ms,
+            self.metrics.add_histogram(
+                'balsamdale_slot_wait_seconds',
+                'Time that an attempt waited for a slot',
+                WAIT_BOUNDS_S,
+            ),
+        )
         self.handler = serving.RequestHandler(
             request_state.Context(
                 table=lambda: self.table,
@@ -106,6 +139,7 @@
                     LATENCY_BOUNDS_S,
                 ),
                 quota=self.quota_client,
+                slots=self.slot_client,
             )
         )
         self.listener = listener.Listener(
@@ -135,6 +169,8 @@
         )
         self._background.spawn(self._run_expiry())
         self._background.spawn(self.quota_service.run())
+        if self.settings.slot_allocation != 'off':
+            self._background.spawn(self.slot_client.run())
         await super().start()
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
@@ -142,6 +178,7 @@
             **super().gauges(),
             **self.quota_client.gauges(),
             **self.quota_service.gauges(),
+            **self._slot_gauges(),
             'requests_in_flight': (
                 'Requests of callers',
                 lambda: self.handler.in_flight,
@@ -164,7 +201,10 @@
             ),
             'servers_ejected': (
                 'Servers ejected for their failures',
-                self.balancer.outliers.count_ejected,
+                lambda: (
+                    self.balancer.outliers.count_ejected()
+                    + self.slot_service.ejected
+                ),
             ),
             'retries_withheld': (
                 'Retries that the retry budget did not allow',
@@ -180,6 +220,31 @@
             ),
         }
 
+    def _slot_gauges(self):
+        """Return the gauges of slots, asked for and allocated here."""
+        client, service = self.slot_client, self.slot_service
+        asked = {
+            f'slots_asked_{kind}': (
+                f'Attempts of this entry: {kind}',
+                functools.partial(client.counts.__getitem__, kind),
+            )
+            for kind in client.counts
+        }
+        decided = {
+            f'slots_decided_{kind}': (
+                f'Decisions of the allocators here: {kind}',
+                functools.partial(service.counts.__getitem__, kind),
+            )
+            for kind in service.counts
+        }
+        waiting = {
+            'slots_waiting': (
+                'Requests that wait for slots of the allocators here',
+                lambda: service.waiting,
+            )
+        }
+        return {**asked, **decided, **waiting}
+
     async def leave(self) -> None:
         self.listener.is_leaving = True
         await super().leave()
@@ -196,6 +261,8 @@
         self.quota_client.close()
         await self._stop_platform_endpoints()
         await self.http_client.close()
+        self.slot_client.close()
+        self.slot_service.close()
         await super().close()
 
     def is_ready(self) -> bool:
