Make deployment tests independent of the machine's disk

The archives of a test deployment synced the disk of the machine. A trace of a failed test_budget_holds_for_turns_that_are_not_stored has a sync of 1.3 s on all three archives, above RESERVE_TIMEOUT_S, and a 503 no_quorum, which is right: the turn did not run.

test_broken_stream_does_not_look_whole raced with the entry: a stream that breaks before an event has been passed on is a 502, as it must be. The server now breaks the stream once the caller has read a part of it, and the test also requires that the response has begun.

--- a/standins/routed.py
+++ b/standins/routed.py
@@ -22,7 +22,7 @@
     response, because the connection is closed.
     `break_after` closes a stream after that event, `break_every` after each
     event with a multiple of that number; with `cut_event`, in the middle of
-    the event that follows.
+    the event that follows. `break_gate` delays this until the event is set.
     """
 
     delay_s: float = 0.0
@@ -33,6 +33,7 @@
     break_after: int = 0
     break_every: int = 0
     cut_event: bool = False
+    break_gate: asyncio.Event | None = None
 
 
 class RoutedServer:
@@ -107,6 +108,8 @@
                 if self.switches.cut_event:
                     await response.write(b'id: 99\ndata: cut he')
                     await asyncio.sleep(0.05)
+                if self.switches.break_gate is not None:
+                    await self.switches.break_gate.wait()
                 request.transport.abort()
                 return response
         await response.write_eof()
--- a/tests/routed_site.py
+++ b/tests/routed_site.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import pathlib
+import tempfile
 
 import aiohttp
 from aiohttp import test_utils
@@ -17,6 +19,10 @@
 from standins import routed
 
 HOST = 'h.example'
+# A file system in memory, if there is one. All instances share one event loop
+# here, and syncs of a disk that other processes use were seen to take 1.3 s,
+# and the start of three archives 8 s: more than the timeouts of the quorum.
+MEMORY_FOLDER = pathlib.Path('/dev/shm')
 ROLES = {
     'archive': archive_node.ArchiveNode,
     'entry': entry_node.EntryNode,
@@ -81,11 +87,19 @@
 
 
 class Deployment:
-    """Two entries and three archives on stub backend servers."""
+    """Two entries and three archives on stub backend servers.
+
+    Args:
+        folder: for data folders where there is no file system in memory.
+    """
 
     def __init__(self, folder):
-        self._folder = folder
         self._stack = contextlib.AsyncExitStack()
+        if MEMORY_FOLDER.is_dir():
+            folder = self._stack.enter_context(
+                tempfile.TemporaryDirectory(dir=MEMORY_FOLDER)
+            )
+        self._folder = pathlib.Path(folder)
         self._ports = ports.PortReservations()
         self._stack.callback(self._ports.close)
         self._ids = iter(range(1, 10**6))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -280,11 +280,31 @@
 
 
 def test_broken_stream_does_not_look_whole(tmp_path):
+    """The stream breaks once the caller has read a part of it.
+
+    One that breaks before an event was passed on is a 502.
+    """
+
     async def scenario(deployment):
+        gate = asyncio.Event()
         for server in deployment.servers.values():
             server.switches.break_after = 2
-        with pytest.raises(aiohttp.ClientError):
-            await deployment.post_turn('t1')
+            server.switches.break_gate = gate
+        address = deployment.nodes['entry-a'].settings.entry_address
+        headers = {
+            'Host': routed_site.HOST,
+            'X-Request-Id': 't1',
+            'X-Program-Id': 'p',
+            'X-Token-Usage': '100,30',
+        }
+        async with deployment.client.post(
+            f'http://{address}/turns/x', data=b'[t1]', headers=headers
+        ) as response:
+            assert response.status == 200
+            assert await response.content.readline() == b'id: 1\n'
+            gate.set()
+            with pytest.raises(aiohttp.ClientError):
+                await response.read()
         for server in deployment.servers.values():
             server.switches.break_after = 0
         assert (await deployment.post_turn('t2', 't1'))[0] == 404
