--- a/balsamdale/follower.py
+++ b/balsamdale/follower.py
@@ -47,6 +47,9 @@
 COMPARE_INTERVAL_S = 0.8
 # The same while it does not reply.
 DISCONNECTED_COMPARE_INTERVAL_S = 0.3
+# Seconds before the first comparison, once a peer is known: until a peer has
+# heard it, an instance that dies is evicted only when its lease expires.
+FIRST_COMPARE_DELAY_S = 0.05
 # Seconds in which this instance's watch should deliver a change that a peer
 # already has.
 WATCH_GRACE_S = 0.25
@@ -153,14 +156,18 @@
 
     async def run_comparisons(self) -> None:
         """Compare with a peer periodically until cancelled."""
+        has_compared = False
         while True:
             interval_s = (
                 COMPARE_INTERVAL_S
                 if self.is_connected
                 else DISCONNECTED_COMPARE_INTERVAL_S
             )
+            if not has_compared:
+                interval_s = FIRST_COMPARE_DELAY_S
             await asyncio.sleep(interval_s * self._generator.uniform(0.8, 1.2))
             while peer_id := self._choose_peer_to_compare():
+                has_compared = True
                 if await self._compare_with(peer_id):
                     break
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -487,3 +487,19 @@
         assert received_changes == [('expired meanwhile', True)]
 
     virtual.run(scenario())
+
+
+def test_instance_is_heard_soon_after_its_start():
+    """One that dies unheard is evicted only when its lease expires."""
+
+    async def scenario():
+        pair = MirrorPair()
+        heard = []
+        pair.followers['y'].on_peer_heard = heard.append
+        pair.start()
+        await asyncio.sleep(2 * follower.FIRST_COMPARE_DELAY_S)
+        assert heard == ['x']
+        await asyncio.sleep(follower.COMPARE_INTERVAL_S / 2)
+        assert heard == ['x']
+
+    virtual.run(scenario())
