Bound the memory that callers of an entry can make it hold

A process is killed at its memory limit, from 88 MB up, with all of its requests. With memory_limit_mb set, bodies, prompts, responses and unread output are counted against a budget: near it, new bodies are refused with 503 before they are read, and callers that send or read too slowly are disconnected, the slowest first. A stream is paused while its caller has more than 64 KB left to read, and connections read at most 32 KB at once instead of 256 KB.

--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -18,6 +18,7 @@
 from balsamdale import request_state
 from balsamdale import routes
 from balsamdale.scheduling import balance
+from balsamdale.scheduling import memory
 from balsamdale import serving
 
 __all__ = ['EntryNode']
@@ -85,7 +86,14 @@
             )
         )
         self.listener = listener.Listener(
-            self.handler, platform_adapter.wire_format, routes.Limits()
+            self.handler,
+            platform_adapter.wire_format,
+            routes.Limits(),
+            memory.MemoryBudget(
+                memory.budget_bytes(
+                    settings.memory_limit_mb * node_settings.MEGABYTE
+                )
+            ),
         )
         self._stop_platform_endpoints = None
         self.mirror.add_listener(
@@ -127,6 +135,18 @@
                 'Version in force',
                 lambda: self.table.version if self.table is not None else 0,
             ),
+            'held_bytes': (
+                'Bodies, prompts, responses and output of requests',
+                lambda: self.listener.budget.held_bytes,
+            ),
+            'bodies_refused': (
+                'Bodies refused for lack of memory',
+                lambda: self.listener.budget.refused_bodies,
+            ),
+            'callers_disconnected': (
+                'Callers disconnected as they send or read too slowly',
+                lambda: self.listener.budget.disconnected_callers,
+            ),
             'servers': (
                 'Backend servers that are known',
                 lambda: len(list(self.directory)),
--- a/balsamdale/exchange.py
+++ b/balsamdale/exchange.py
@@ -28,6 +28,10 @@
 # timeouts of servers, which are set in whole seconds.
 IDLE_CONNECTION_S = 2.0
 HEADER_FIELD_LIMIT_BYTES = 32768
+# aiohttp pauses a connection at twice this much unread data; one call reads
+# at most the latter, so that a paused stream buffers up to 64 KB.
+READ_BUFFER_BYTES = 16384
+MAX_RECEIVE_BYTES = 32768
 # Headers that aiohttp would add to those of the caller.
 LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
@@ -38,6 +42,10 @@
     id_header = ''
     expected_id = ''
 
+    def connection_made(self, transport):
+        transport.max_size = MAX_RECEIVE_BYTES
+        super().connection_made(transport)
+
     async def read(self):
         while True:
             message, payload = await super().read()
@@ -193,6 +201,7 @@
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 trust_env=False,
+                read_bufsize=READ_BUFFER_BYTES,
                 max_field_size=HEADER_FIELD_LIMIT_BYTES,
                 max_line_size=HEADER_FIELD_LIMIT_BYTES,
                 timeout=aiohttp.ClientTimeout(
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -9,10 +9,12 @@
 import aiohttp
 from aiohttp import web
 
+from balsamdale import background
 from balsamdale import decisions
 from balsamdale import errors
 from balsamdale import request_state
 from balsamdale import routes
+from balsamdale.scheduling import memory
 from balsamdale import serving
 from balsamdale import sockets
 from balsamdale import wire
@@ -25,6 +27,33 @@
 IDLE_CONNECTION_S = 75.0
 # Time for responses in progress to finish when the listener closes.
 SHUTDOWN_TIMEOUT_S = 0.3
+# Data that one call reads from a connection, and the unread part of a body at
+# which reading is paused; a connection buffers at most three times as much.
+READ_BUFFER_BYTES = 16384
+# Size of a refused body up to which its connection stays usable: the rest of
+# the body has to be received to reach the next request.
+MAX_SKIPPED_BODY_BYTES = 65536
+# Seconds between checks of the output that callers have not read.
+OUTPUT_CHECK_INTERVAL_S = 0.25
+
+
+class _Connection(web.RequestHandler):
+    """A connection that reads little at a time.
+
+    asyncio reads up to 256 KB at once by default, also of a body that is
+    about to be refused.
+    """
+
+    def connection_made(self, transport):
+        transport.max_size = READ_BUFFER_BYTES
+        super().connection_made(transport)
+
+
+class _Server(web.Server):
+    """A server whose connections are of class `_Connection`."""
+
+    def __call__(self):
+        return _Connection(self, loop=self._loop, **self._kwargs)
 
 
 class Listener:
@@ -34,6 +63,7 @@
         handler: handles decoded requests.
         wire_format: translation of header names.
         limits: limits on what callers may send.
+        budget: memory that requests may hold; no limit by default.
 
     Attributes:
         is_leaving: whether this instance stops, so that connections close
@@ -45,7 +75,11 @@
         handler: serving.RequestHandler,
         wire_format: wire.WireFormat,
         limits: routes.Limits,
+        budget: memory.MemoryBudget | None = None,
     ):
+        self.budget = budget or memory.MemoryBudget(0)
+        self._responders: dict[memory.Holding, _Responder] = {}
+        self._background = background.BackgroundTasks('listener')
         self._handler = handler
         self._wire_format = wire_format
         self._limits = limits
@@ -54,7 +88,7 @@
 
     async def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
-        server = web.Server(
+        server = _Server(
             self._handle,
             request_factory=self._request,
             handler_cancellation=True,
@@ -63,6 +97,7 @@
             max_line_size=self._limits.header_bytes,
             max_field_size=self._limits.header_bytes,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         self._runner = web.ServerRunner(
             server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
@@ -74,9 +109,12 @@
             backlog=BACKLOG,
         )
         await site.start()
+        if self.budget.limit_bytes:
+            self._background.spawn(self._run_output_checks())
 
     async def close(self) -> None:
         """Close the listener and all connections."""
+        self._background.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -92,34 +130,128 @@
         )
 
     async def _handle(self, request):
-        responder = _Responder(request, self)
+        try:
+            _check_length(request, self._limits.body_bytes)
+            holding = self.budget.admit(request.content_length, _now_s())
+        except web.HTTPRequestEntityTooLarge:
+            return _too_large(request)
+        except errors.Refused as refused:
+            return self._refuse_body(request, refused)
+        responder = _Responder(request, self, holding)
+        self._responders[holding] = responder
+        try:
+            return await self._handle_admitted(request, responder)
+        finally:
+            del self._responders[holding]
+            self.budget.release(holding, _now_s())
+
+    async def _handle_admitted(self, request, responder):
         try:
             if request.headers.get('Expect', '').lower() == '100-continue':
                 await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-            body = await request.read()
+            body = await self._read_body(request, responder.holding)
+        except web.HTTPRequestEntityTooLarge:
+            return _too_large(request)
+        except errors.Refused as refused:
+            return self._refuse_body(request, refused)
+        try:
             call = self._wire_format.decode_request(
                 request.method, request.raw_path, request.headers, body
             )
-        except web.HTTPRequestEntityTooLarge:
-            decisions.record('body_too_large', path=request.raw_path)
-            return web.Response(status=413)
         except errors.Refused as refused:
-            decisions.record(
-                'bad_request', path=request.raw_path, reason=refused.detail
-            )
-            return web.Response(status=refused.status)
+            return _bad_request(request, refused)
         await self._handler.serve(call, responder)
+        del body, call
+        await responder.flush()
         return responder.response
 
+    async def _read_body(self, request, holding):
+        """Read a body, counting it in the budget.
+
+        Raises:
+            HTTPRequestEntityTooLarge: it exceeds the limit on bodies.
+            Refused: there is no memory for it.
+        """
+        body = bytearray()
+        while chunk := await request.content.readany():
+            body += chunk
+            if len(body) > self._limits.body_bytes:
+                raise web.HTTPRequestEntityTooLarge(
+                    self._limits.body_bytes, len(body)
+                )
+            self.budget.record_input(holding, len(chunk), _now_s())
+        self.budget.end_input(holding)
+        return bytes(body)
+
+    def _refuse_body(self, request, refused):
+        """Return the refusal of a request whose body is not read.
+
+        Its connection stays usable if the body is short and is sent anyway;
+        the server receives and discards it.
+        """
+        try:
+            call = self._wire_format.decode_request(
+                request.method, request.raw_path, request.headers, b''
+            )
+        except errors.Refused as malformed:
+            return _bad_request(request, malformed)
+        response = web.Response(status=refused.status)
+        for name, value in self._wire_format.refusal_headers(
+            call.request_id, refused
+        ):
+            response.headers.add(name, value)
+        length = request.content_length
+        is_short = length is not None and length <= MAX_SKIPPED_BODY_BYTES
+        if self.is_leaving or 'Expect' in request.headers or not is_short:
+            response.force_close()
+        decisions.record(
+            'body_refused',
+            id=call.request_id,
+            body_bytes=length,
+            held_bytes=self.budget.held_bytes,
+            limit_bytes=self.budget.limit_bytes,
+            retry_after_s=round(refused.retry_after_s, 3),
+        )
+        return response
+
+    async def _run_output_checks(self):
+        while True:
+            await asyncio.sleep(OUTPUT_CHECK_INTERVAL_S)
+            for responder in self._responders.values():
+                responder.record_output(0)
+            self.disconnect_slow_callers()
+
+    def disconnect_slow_callers(self) -> None:
+        """Close the connections of callers that put the process at risk."""
+        for chosen in self.budget.choose_disconnections(_now_s()):
+            decisions.record(
+                'caller_disconnected',
+                reason=chosen.reason,
+                held_bytes=chosen.held_bytes,
+                waited_s=round(chosen.waited_s, 3),
+                bytes_per_s=round(chosen.bytes_per_s),
+                total_held_bytes=chosen.total_held_bytes,
+                limit_bytes=self.budget.limit_bytes,
+            )
+            self._responders[chosen.holding].abort()
+
 
 class _Responder(request_state.Responder):
     """Sends a response over one HTTP connection."""
 
-    def __init__(self, request, listener):
+    def __init__(self, request, listener, holding):
         self._request = request
         self._listener = listener
+        self._budget = listener.budget
+        self.holding = holding
         self.response: web.StreamResponse | None = None
 
+    def hold(self, size_bytes):
+        is_within_limit = self._budget.keep(self.holding, size_bytes)
+        if self._budget.is_near_limit:
+            self._listener.disconnect_slow_callers()
+        return is_within_limit
+
     async def respond(self, status, headers, body):
         self.response = web.Response(status=status, body=body)
         self._put_headers(headers)
@@ -134,11 +266,53 @@
         await self._guard(self.response.prepare(self._request))
 
     async def write(self, data):
+        """Write a part; wait while the caller has much left to read.
+
+        Meanwhile the server's stream is not read.
+        """
+        self._set_output_limit(self._budget.output_allowance_bytes())
         await self._guard(self.response.write(data))
+        self.record_output(len(data))
+        if self._budget.is_near_limit:
+            self._listener.disconnect_slow_callers()
+        await self._guard(self._request.writer.drain())
 
     async def end(self):
         await self._guard(self.response.write_eof())
 
+    async def flush(self):
+        """Wait until the caller has read its response, to keep counting it.
+
+        The request has ended, so this is not limited by its deadline.
+        """
+        transport = self._request.transport
+        if (
+            not self._budget.limit_bytes
+            or transport is None
+            or transport.is_closing()
+            or not transport.get_write_buffer_size()
+        ):
+            return
+        self._budget.drop_input(self.holding, _now_s())
+        self.record_output(0)
+        self._set_output_limit(0)
+        try:
+            await self._request.writer.drain()
+        except (ConnectionError, aiohttp.ClientError):
+            return
+        self._set_output_limit(memory.MAX_OUTPUT_BYTES)
+
+    def record_output(self, written_bytes):
+        """Record in the budget what the caller has not read."""
+        transport = self._request.transport
+        if transport is not None and self.has_begun:
+            self._budget.record_output(
+                self.holding,
+                written_bytes,
+                transport.get_write_buffer_size(),
+                _now_s(),
+            )
+
     def abort(self):
         if self.response is None:
             self.response = web.StreamResponse(status=500)
@@ -146,6 +320,14 @@
         if transport is not None:
             transport.abort()
 
+    def _set_output_limit(self, limit_bytes):
+        """Set the buffered output above which `drain` waits."""
+        transport = self._request.transport
+        if transport is not None and not transport.is_closing():
+            _, high_bytes = transport.get_write_buffer_limits()
+            if high_bytes != limit_bytes:
+                transport.set_write_buffer_limits(high=limit_bytes)
+
     def _put_headers(self, headers):
         for name, value in headers:
             self.response.headers.add(name, value)
@@ -157,3 +339,26 @@
             await writing
         except (ConnectionError, aiohttp.ClientError) as error:
             raise errors.CallerDisconnected(str(error)) from error
+
+
+def _check_length(request, limit_bytes):
+    """Raise if a body is declared to exceed the limit on bodies."""
+    length = request.content_length
+    if length is not None and length > limit_bytes:
+        raise web.HTTPRequestEntityTooLarge(limit_bytes, length)
+
+
+def _too_large(request):
+    decisions.record('body_too_large', path=request.raw_path)
+    return web.Response(status=413)
+
+
+def _bad_request(request, refused):
+    decisions.record(
+        'bad_request', path=request.raw_path, reason=refused.detail
+    )
+    return web.Response(status=refused.status)
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
--- a/balsamdale/node_settings.py
+++ b/balsamdale/node_settings.py
@@ -5,7 +5,12 @@
 
 from balsamdale import findings
 
-__all__ = ['NodeSettings', 'load']
+__all__ = ['MEGABYTE', 'NodeSettings', 'load']
+
+MEGABYTE = 1_000_000
+# Smallest memory limit: an entry without requests and its turn cache use
+# 53 MB, and a budget for less would refuse single large bodies.
+MIN_MEMORY_LIMIT_MB = 72
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +36,8 @@
         account_retention_s: how long the token account of a program is kept
             after the program's deadline and the retention of its turns.
         metrics_address: IP address and port for metrics; empty for none.
+        memory_limit_mb: memory at which the process is killed, in millions of
+            bytes; 0 for no limit. Entries bound what requests hold by it.
     """
 
     instance_id: str
@@ -49,6 +56,7 @@
     registry_keep_s: float = 2.0
     account_retention_s: float = 120.0
     metrics_address: str = ''
+    memory_limit_mb: int = 0
 
 
 REQUIRED_KEYS = {
@@ -94,3 +102,10 @@
         document.add_finding('account_retention_s', 'must not be negative')
     if settings.grace_s <= 0:
         document.add_finding('grace_s', 'must be above 0')
+    if settings.memory_limit_mb and (
+        settings.memory_limit_mb < MIN_MEMORY_LIMIT_MB
+    ):
+        document.add_finding(
+            'memory_limit_mb',
+            f'must be 0 or at least {MIN_MEMORY_LIMIT_MB}',
+        )
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -37,6 +37,14 @@
 
     has_begun = False
 
+    def hold(self, size_bytes: int) -> bool:
+        """Count memory that the request needs until its response has ended.
+
+        Returns:
+            Whether this instance has that much; it is counted anyway.
+        """
+        return True
+
     @abc.abstractmethod
     async def respond(
         self, status: int, headers: list[wire.Header], body: bytes
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -151,6 +151,14 @@
                     f'{requested_tokens} tokens exceed the program budget',
                 )
             body = history.assemble_prompt(chain, call.body)
+            if chain and not state.responder.hold(len(body)):
+                raise errors.Refused(
+                    'no_memory',
+                    503,
+                    'no memory for the prompt of this turn',
+                    'no',
+                    attempts.CALLER_RETRY_AFTER_S,
+                )
             await self._attempts.run(state, body, self._deliver_stream)
             if state.status == 200:
                 self._record_stage(state, 'last_event_s')
@@ -242,10 +250,25 @@
             await self._deliver_stream(state, response)
             await state.responder.end()
             return
-        body = await response.body()
+        body = await self._read_whole(state, response)
         headers = self._context.wire_format.response_headers(response.headers)
         await state.responder.respond(response.status, headers, body)
 
+    async def _read_whole(self, state, response):
+        """Read a response that is passed on in one piece.
+
+        Raises:
+            Refused: there is no memory for it.
+        """
+        parts = []
+        async for chunk in response.chunks():
+            if not state.responder.hold(len(chunk)):
+                raise errors.Refused(
+                    'no_memory', 502, 'no memory for the response', 'yes'
+                )
+            parts.append(chunk)
+        return b''.join(parts)
+
     async def _deliver_stream(self, state, response):
         """Pass events on as they arrive, without ending the response.
 
@@ -270,6 +293,7 @@
                 state.reader.feed(chunk)
             if not chunk:
                 continue
+            state.responder.hold(len(chunk))
             if not state.responder.has_begun:
                 self._record_stage(state, 'first_event_s')
                 await state.responder.begin(response.status, headers)
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -43,6 +43,14 @@
     assert lines['role'] == 4
 
 
+@pytest.mark.parametrize('value', ['-1', '40', '"many"', '88.5'])
+def test_memory_limit_is_checked(tmp_path, value):
+    with pytest.raises(errors.ValidationFailed, match='memory_limit_mb'):
+        load(tmp_path, ENTRY + f'memory_limit_mb = {value}\n')
+    settings = load(tmp_path, ENTRY + 'memory_limit_mb = 88\n')
+    assert settings.memory_limit_mb == 88
+
+
 def test_role_needs_its_addresses(tmp_path):
     text = ENTRY.replace('"entry"', '"archive"')
     with pytest.raises(errors.ValidationFailed, match='data_folder'):
