--- a/standins/routed.py
+++ b/standins/routed.py
@@ -22,7 +22,7 @@
     response, because the connection is closed.
     `break_after` closes a stream after that event, `break_every` after each
     event with a multiple of that number; with `cut_event`, in the middle of
-    the event that follows.
+    the event that follows. `break_gate` delays this until the event is set.
     `slowdown` is the fourth value of the load header, which has three
     without it; `is_leaving` adds the header of a leaving server.
     `fail` is how many of the next requests get a response of status 500.
@@ -39,6 +39,7 @@
     slowdown: int = 0
     is_leaving: bool = False
     fail: int = 0
+    break_gate: asyncio.Event | None = None
 
 
 class RoutedServer:
@@ -120,6 +121,8 @@
                 if self.switches.cut_event:
                     await response.write(b'id: 99\ndata: cut he')
                     await asyncio.sleep(0.05)
+                if self.switches.break_gate is not None:
+                    await self.switches.break_gate.wait()
                 request.transport.abort()
                 return response
         await response.write_eof()
