--- a/balsamdale/holdings.py
+++ b/balsamdale/holdings.py
@@ -127,6 +127,7 @@
         self._clock = clock
         self._started_ms = started_ms
         self._books: dict[tuple[str, str], Holdings] = {}
+        self._has_books = asyncio.Event()
         self._breakers: dict[str, Breaker] = {}
         self._background = background.BackgroundTasks('slots')
 
@@ -135,6 +136,7 @@
         key = (service, failure_domain)
         if key not in self._books:
             self._books[key] = Holdings(*key)
+            self._has_books.set()
         return self._books[key]
 
     def breaker(self, allocator_id: str) -> Breaker:
@@ -176,6 +178,7 @@
 
     async def run(self) -> None:
         """Report what is held regularly, and at once to a new allocator."""
+        await self._has_books.wait()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now_s = self._clock()
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -84,6 +84,7 @@
         self._wire_format = wire_format
         self._limits = limits
         self._runner: web.ServerRunner | None = None
+        self._is_checking = False
         self.is_leaving = False
 
     async def listen(self, address: str) -> None:
@@ -109,8 +110,6 @@
             backlog=BACKLOG,
         )
         await site.start()
-        if self.budget.limit_bytes:
-            self._background.spawn(self._run_output_checks())
 
     async def close(self) -> None:
         """Close the listener and all connections."""
@@ -139,6 +138,7 @@
             return self._refuse_body(request, refused)
         responder = _Responder(request, self, holding)
         self._responders[holding] = responder
+        self.check_output()
         try:
             return await self._handle_admitted(request, responder)
         finally:
@@ -214,12 +214,19 @@
         )
         return response
 
+    def check_output(self) -> None:
+        """Check slow callers regularly while much memory is held."""
+        if self.budget.needs_checks and not self._is_checking:
+            self._is_checking = True
+            self._background.spawn(self._run_output_checks())
+
     async def _run_output_checks(self):
-        while True:
+        while self.budget.needs_checks:
             await asyncio.sleep(OUTPUT_CHECK_INTERVAL_S)
             for responder in self._responders.values():
                 responder.record_output(0)
             self.disconnect_slow_callers()
+        self._is_checking = False
 
     def disconnect_slow_callers(self) -> None:
         """Close the connections of callers that put the process at risk."""
@@ -248,6 +255,7 @@
 
     def hold(self, size_bytes):
         is_within_limit = self._budget.keep(self.holding, size_bytes)
+        self._listener.check_output()
         if self._budget.is_near_limit:
             self._listener.disconnect_slow_callers()
         return is_within_limit
--- a/balsamdale/scheduling/memory.py
+++ b/balsamdale/scheduling/memory.py
@@ -42,6 +42,9 @@
 STALLED_SHARE = 0.6
 STALLED_BYTES_PER_S = 2_000.0
 STALLED_AFTER_S = 2.0
+# Share of the budget above which callers are observed, so that their speed
+# is known before any has to be disconnected.
+CHECK_SHARE = 0.25
 # Callers wait at least this long before they are disconnected as the slowest:
 # several round trips.
 MIN_WAIT_S = 0.5
@@ -135,6 +138,12 @@
         self._promised_bytes = 0.0
         self._updated_at_s = 0.0
 
+    @property
+    def needs_checks(self) -> bool:
+        """Whether callers have to be observed for being slow."""
+        limit_bytes = CHECK_SHARE * self.limit_bytes
+        return bool(self.limit_bytes) and self.held_bytes > limit_bytes
+
     @property
     def is_near_limit(self) -> bool:
         """Whether the slowest callers have to be disconnected."""
