Allocate slots where the platform says that servers are scarce

One of the two deployments has servers that report three values but too little room at times; the contracts in force say so. The adapter translates the contract; the setting 'slot_allocation' overrides it.

A memory limit under 72 MB no longer keeps an entry from starting: a small machine is better served with the smallest budget than not at all. The test refuses infinite limits instead.

--- a/balsamdale/adapter.py
+++ b/balsamdale/adapter.py
@@ -62,6 +62,10 @@
             ValidationFailed: it does not describe a usable server.
         """
 
+    @abc.abstractmethod
+    def has_scarce_servers(self, settings: node_settings.NodeSettings) -> bool:
+        """Return whether servers may be short of room, by the contracts."""
+
     @abc.abstractmethod
     def decommission_key(self, instance_id: str) -> str:
         """Return the key that requests an archive's decommissioning."""
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -111,7 +111,7 @@
             self.links,
             found_allocators,
             self.directory,
-            settings.slot_allocation,
+            _slot_allocation(settings, platform_adapter),
             clocks.monotonic,
             started_ms,
             self.metrics.add_histogram(
@@ -149,7 +149,7 @@
             routes.Limits(),
             memory.MemoryBudget(
                 memory.budget_bytes(
-                    settings.memory_limit_mb * node_settings.MEGABYTE
+                    int(settings.memory_limit_mb * node_settings.MEGABYTE)
                 )
             ),
         )
@@ -372,3 +372,11 @@
             self.balancer.remove_departed(
                 {s.server_id for s in self.directory}
             )
+
+
+def _slot_allocation(settings, platform_adapter):
+    """Return the mode of slot allocation that the settings call for."""
+    mode = settings.slot_allocation
+    if mode == 'auto' and platform_adapter.has_scarce_servers(settings):
+        return 'on'
+    return mode
--- a/balsamdale/node_settings.py
+++ b/balsamdale/node_settings.py
@@ -1,6 +1,7 @@
 """Settings of an entry or archive instance."""
 
 import dataclasses
+import math
 import typing
 
 from balsamdale import findings
@@ -8,9 +9,6 @@
 __all__ = ['MEGABYTE', 'NodeSettings', 'load']
 
 MEGABYTE = 1_000_000
-# Smallest memory limit: an entry without requests and its turn cache use
-# 53 MB, and a budget for less would refuse single large bodies.
-MIN_MEMORY_LIMIT_MB = 72
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,7 +36,9 @@
         metrics_address: IP address and port for metrics; empty for none.
         slot_allocation: whether entries ask allocators for slots: 'on' for
             all services, 'off' for none, 'auto' for those whose servers
-            report a slowdown; entries only.
+            report a slowdown, and for all if `contracts` say that servers
+            may be short of room; entries only.
+        contracts: names of the platform's rules that are in force.
         memory_limit_mb: memory at which the process is killed, in millions of
             bytes; 0 for no limit. Entries bound what requests hold by it.
     """
@@ -60,7 +60,8 @@
     account_retention_s: float = 120.0
     metrics_address: str = ''
     slot_allocation: typing.Literal['auto', 'on', 'off'] = 'auto'
-    memory_limit_mb: int = 0
+    contracts: tuple[str, ...] = ()
+    memory_limit_mb: float = 0
 
 
 REQUIRED_KEYS = {
@@ -106,10 +107,5 @@
         document.add_finding('account_retention_s', 'must not be negative')
     if settings.grace_s <= 0:
         document.add_finding('grace_s', 'must be above 0')
-    if settings.memory_limit_mb and (
-        settings.memory_limit_mb < MIN_MEMORY_LIMIT_MB
-    ):
-        document.add_finding(
-            'memory_limit_mb',
-            f'must be 0 or at least {MIN_MEMORY_LIMIT_MB}',
-        )
+    if not 0 <= settings.memory_limit_mb < math.inf:
+        document.add_finding('memory_limit_mb', 'must be 0 or a size')
--- a/balsamdale/platform/adapter.py
+++ b/balsamdale/platform/adapter.py
@@ -17,6 +17,8 @@
 
 __all__ = ['PlatformAdapter']
 
+CONTRACT_OF_SCARCE_SERVERS = 'pressure'
+
 
 class PlatformAdapter(adapter.Adapter):
     """Names, formats and calls of the platform."""
@@ -38,6 +40,9 @@
     def decode_server(self, server_id: str, value: bytes) -> discovery.Server:
         return records.decode_server(server_id, value)
 
+    def has_scarce_servers(self, settings: node_settings.NodeSettings) -> bool:
+        return CONTRACT_OF_SCARCE_SERVERS in settings.contracts
+
     def decommission_key(self, instance_id: str) -> str:
         return f'op/retire/{instance_id}'
 
--- a/balsamdale/scheduling/memory.py
+++ b/balsamdale/scheduling/memory.py
@@ -23,6 +23,8 @@
 # Share of the remaining memory that requests may hold. A counted byte may
 # exist twice, as in a message and in the write buffer of a connection.
 HELD_SHARE = 0.5
+# Budget of a process whose limit leaves nothing: it must still serve.
+MIN_BUDGET_BYTES = 4_000_000
 # Share of the budget above which new bodies are refused; the rest is for the
 # responses of requests that have been admitted.
 REFUSE_SHARE = 0.7
@@ -355,4 +357,5 @@
     """
     if not process_limit_bytes:
         return 0
-    return int(HELD_SHARE * max(2, process_limit_bytes - BASE_PROCESS_BYTES))
+    remaining_bytes = process_limit_bytes - BASE_PROCESS_BYTES
+    return max(MIN_BUDGET_BYTES, int(HELD_SHARE * remaining_bytes))
