--- a/balsamdale/allocation_service.py
+++ b/balsamdale/allocation_service.py
@@ -62,6 +62,7 @@
         clock: returns the present time of the monotonic clock in seconds.
         incarnation: start of this instance, since the Unix epoch in ms.
         is_leaving: returns whether this instance is shutting down.
+        compares_finish: see `balance.Balancer`.
 
     Attributes:
         counts: decisions by kind; refusals by reason.
@@ -74,12 +75,14 @@
         clock: collections_abc.Callable[[], float],
         incarnation: int,
         is_leaving: collections_abc.Callable[[], bool],
+        compares_finish: bool = False,
     ):
         self._links = links
         self._allocators = allocators_
         self._clock = clock
         self._incarnation = incarnation
         self._is_leaving = is_leaving
+        self._compares_finish = compares_finish
         self._running: dict[tuple[str, str], _Running] = {}
         self._background = background.BackgroundTasks('allocation')
         self.counts = dict.fromkeys(
@@ -194,7 +197,11 @@
                 return None
             self._running[key] = _Running(
                 *key,
-                slots.SlotAllocator(message.failure_domain, decisions.record),
+                slots.SlotAllocator(
+                    message.failure_domain,
+                    decisions.record,
+                    self._compares_finish,
+                ),
             )
         self._running[key].allocator.set_servers(servers)
         return self._running[key]
--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -65,7 +65,7 @@
         now_s = self._context.clock()
         servers = self._context.directory.ready(state.service.name)
         balancer = self._context.balancer
-        if not balancer.reports_slowdown(servers):
+        if not balancer.compares_finish(servers):
             return balancer.choose(servers, state.affinity, excluded, now_s)
         return balancer.choose(
             servers,
@@ -162,7 +162,7 @@
         """
         context, now_s = self._context, self._context.clock()
         servers = context.directory.ready(state.service.name)
-        if not context.balancer.reports_slowdown(servers):
+        if not context.balancer.compares_finish(servers):
             return True
         if not state.attempts:
             self.retry_budget.record_request(now_s)
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -64,7 +64,9 @@
         self.table: routes.RouteTable | None = None
         self.directory = discovery.Directory()
         self.balancer = balance.Balancer(
-            settings.failure_domain, record_event=decisions.record
+            settings.failure_domain,
+            record_event=decisions.record,
+            compares_finish=platform_adapter.has_scarce_servers(settings),
         )
         self.quorum = quorum.Quorum(
             self.relay,
@@ -106,6 +108,7 @@
             clocks.monotonic,
             started_ms,
             lambda: self.member_directory.is_leaving,
+            platform_adapter.has_scarce_servers(settings),
         )
         self.slot_client = allocation.SlotClient(
             self.links,
--- a/balsamdale/scheduling/balance.py
+++ b/balsamdale/scheduling/balance.py
@@ -99,6 +99,9 @@
             its slots, as a share of the slots.
         record_event: called with the name and the fields of each ejection
             and readmission of a server.
+        compares_finish: whether the expected time to finish and the outcomes
+            decide at all services, also where no server has reported a
+            slowdown.
 
     Attributes:
         reports_ignored: load reports that were malformed or out of range.
@@ -110,8 +113,10 @@
         failure_domain: str,
         queued_per_slot: float = QUEUED_REQUESTS_PER_SLOT,
         record_event: outliers.RecordEvent | None = None,
+        compares_finish: bool = False,
     ):
         self._failure_domain = failure_domain
+        self._compares_finish = compares_finish
         self._queued_per_slot = queued_per_slot
         self._states: dict[str, _ServerState] = {}
         self._speeds = finish_time.Speeds()
@@ -151,7 +156,7 @@
             s for s in allowed if not self._current_state(s).is_suspected
         ] or allowed
         choices = self._with_capacity(candidates, now_s, tokens, memory_tokens)
-        if self.reports_slowdown(servers):
+        if self.compares_finish(servers):
             ejected = self.outliers.ejected(
                 servers[0].service, [s.server_id for s in servers], now_s
             )
@@ -185,12 +190,12 @@
             ]
         return min(choices, key=lambda c: (c.cost, c.server.server_id))
 
-    def reports_slowdown(
+    def compares_finish(
         self, servers: collections_abc.Iterable[discovery.Server]
     ) -> bool:
-        """Return whether one of the servers of a service does."""
+        """Return whether expected times and outcomes decide at a service."""
         states = (self._current_state(server) for server in servers)
-        return any(
+        return self._compares_finish or any(
             s.report is not None and s.report.has_slowdown for s in states
         )
 
--- a/balsamdale/scheduling/slots.py
+++ b/balsamdale/scheduling/slots.py
@@ -105,16 +105,18 @@
         failure_domain: the domain of the servers.
         record_event: called with the name and the fields of each ejection
             and readmission of a server.
+        compares_finish: see `balance.Balancer`.
     """
 
     def __init__(
         self,
         failure_domain: str,
         record_event: outliers.RecordEvent | None = None,
+        compares_finish: bool = False,
     ):
         self._failure_domain = failure_domain
         self._balancer = balance.Balancer(
-            failure_domain, QUEUED_PER_SLOT, record_event
+            failure_domain, QUEUED_PER_SLOT, record_event, compares_finish
         )
         self._admission = admission.Admission()
         self._registered: tuple[discovery.Server, ...] = ()
