Admit clumps that are within the window of a quota

A bucket of the burst refused clumps of parallel calls although fewer than rate x window + burst requests had been lent in the window. The limiter now logs the units lent in the window, and its bucket holds the burst and the allowed overrun less the units of a new bucket, so that a change of limiter stays within the bound. The window and the overrun are settings.

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -50,7 +50,10 @@
             clocks.wall,
         )
         self.quota_service = quota_service.QuotaService(
-            self.links, self._limiter_names, clocks.monotonic
+            self.links,
+            self._limiter_names,
+            clocks.monotonic,
+            settings.quota_bounds,
         )
         self._absence_tracker = replica_set.AbsenceTracker(settings.losses)
         self._decommission_task: asyncio.Task | None = None
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -90,7 +90,10 @@
             ),
         )
         self.quota_service = quota_service.QuotaService(
-            self.links, self._limiter_names, clocks.monotonic
+            self.links,
+            self._limiter_names,
+            clocks.monotonic,
+            settings.quota_bounds,
         )
         self.links.serve(discovery.ReportLeaving, self._on_leaving)
         found_allocators = allocators.Allocators(
--- a/balsamdale/node_settings.py
+++ b/balsamdale/node_settings.py
@@ -1,9 +1,11 @@
 """Settings of an entry or archive instance."""
 
 import dataclasses
+import math
 import typing
 
 from balsamdale import findings
+from balsamdale.scheduling import quota_window
 
 __all__ = ['MEGABYTE', 'NodeSettings', 'load']
 
@@ -41,6 +43,9 @@
             report a slowdown; entries only.
         memory_limit_mb: memory at which the process is killed, in millions of
             bytes; 0 for no limit. Entries bound what requests hold by it.
+        quota_window_s: length of the sliding window of quotas.
+        quota_overrun_share: share of a quota by which a window may exceed it.
+        quota_overrun_requests: requests by which it may also exceed it.
     """
 
     instance_id: str
@@ -61,6 +66,18 @@
     metrics_address: str = ''
     slot_allocation: typing.Literal['auto', 'on', 'off'] = 'auto'
     memory_limit_mb: int = 0
+    quota_window_s: float = 5.0
+    quota_overrun_share: float = 0.1
+    quota_overrun_requests: float = 20.0
+
+    @property
+    def quota_bounds(self) -> quota_window.WindowBounds:
+        """The window of all quotas."""
+        return quota_window.WindowBounds(
+            self.quota_window_s,
+            self.quota_overrun_share,
+            self.quota_overrun_requests,
+        )
 
 
 REQUIRED_KEYS = {
@@ -104,6 +121,11 @@
         document.add_finding('losses', 'must not be negative')
     if settings.account_retention_s < 0:
         document.add_finding('account_retention_s', 'must not be negative')
+    if not 0 < settings.quota_window_s < math.inf:
+        document.add_finding('quota_window_s', 'must be finite and above 0')
+    for key in ('quota_overrun_share', 'quota_overrun_requests'):
+        if not 0 <= getattr(settings, key) < math.inf:
+            document.add_finding(key, 'must be finite and not negative')
     if settings.grace_s <= 0:
         document.add_finding('grace_s', 'must be above 0')
     if settings.memory_limit_mb and (
--- a/balsamdale/quota_service.py
+++ b/balsamdale/quota_service.py
@@ -15,6 +15,7 @@
 from balsamdale import members
 from balsamdale import metrics
 from balsamdale.scheduling import quota
+from balsamdale.scheduling import quota_window
 
 __all__ = ['LendUnits', 'QuotaService', 'UnitsLent', 'limiter_names']
 
@@ -89,6 +90,7 @@
         candidates: returns the ids of the instances that may limit, with
             this one if it may.
         clock: returns the present time in seconds.
+        bounds: the window of all quotas.
     """
 
     def __init__(
@@ -96,10 +98,11 @@
         links: link.Links,
         candidates: collections_abc.Callable[[], list[str]],
         clock: collections_abc.Callable[[], float],
+        bounds: quota_window.WindowBounds = quota_window.WindowBounds(),
     ):
         self._candidates = candidates
         self._clock = clock
-        self._limiter = quota.Limiter(links.instance_id, clock())
+        self._limiter = quota.Limiter(links.instance_id, clock(), bounds)
         self._counts = dict.fromkeys(
             ('units_lent', 'units_refused', 'units_returned', 'ignored'), 0
         )
--- a/balsamdale/scheduling/quota.py
+++ b/balsamdale/scheduling/quota.py
@@ -10,6 +10,7 @@
 import math
 
 from balsamdale import placement
+from balsamdale.scheduling import quota_window
 
 __all__ = [
     'FallbackShare',
@@ -31,6 +32,8 @@
 RETRY_HORIZON_S = 5.0
 # Time constant of the counts of recent requests.
 RECENT_S = 10.0
+# Age of the youngest unit that can be returned: entries reuse units before.
+MIN_RETURN_AGE_S = 0.5
 # Time for which a lease of another limiter can be part of a sliding window.
 CHANGE_REPORT_S = 5.0
 # Silence of a limiter after which another one may have replaced it: members
@@ -60,7 +63,7 @@
 
     @property
     def capacity(self) -> float:
-        """Size of the bucket; at least one unit, so that any can be lent."""
+        """Burst of an entry's share; at least one unit, to lend any."""
         return max(1.0, self.burst)
 
 
@@ -154,29 +157,73 @@
 class _LimitedWorkspace:
     """Bucket of one workspace, with its limit and the next retry time."""
 
-    def __init__(self, limit, level, reset_at_s, now_s):
+    def __init__(self, limit, bounds, level, reset_at_s, now_s):
         self.limit = limit
         self.reset_at_s = reset_at_s
+        self._bounds = bounds
         self.bucket = TokenBucket(
-            limit.rate_per_s, limit.capacity, level, now_s
+            limit.rate_per_s, self.capacity, level, now_s
         )
+        self.log = quota_window.LentLog(bounds.window_s)
         self.recent = RecentCount()
         self.next_retry_s = now_s
 
+    @property
+    def nominal(self):
+        """Units that may be lent in a window."""
+        return self._bounds.nominal(self.limit.rate_per_s, self.limit.burst)
+
+    @property
+    def capacity(self):
+        """Size of the bucket, for clumps within the window.
+
+        What it adds to the burst and the units of a new bucket are together
+        the overrun, so that a change of limiter stays within the bounds.
+        """
+        limit = self.limit
+        overrun = self._bounds.overrun(limit.rate_per_s, limit.burst)
+        return max(1.0, limit.burst + max(0.0, overrun - START_UNITS))
+
+    def set_limit(self, limit, now_s):
+        """Use a newer limit.
+
+        A lower one scales the log down: units lent under the higher one
+        would otherwise fill the window and stop the workspace.
+        """
+        nominal = self.nominal
+        self.limit = limit
+        if self.nominal < nominal:
+            self.log.scale(self.nominal / nominal)
+        self.bucket.set_limit(limit.rate_per_s, self.capacity, now_s)
+        self.next_retry_s = now_s
+
+    def room(self, now_s):
+        """Return the whole units that the window still allows."""
+        room = self.nominal - self.log.count(now_s) - ROUNDING
+        return max(0, math.ceil(room))
+
 
 class Limiter:
     """The buckets at the instance that limits a set of workspaces.
 
-    A bucket new to it is as full as it can be if the instance that limited
-    before lent its whole burst at the last change, plus `START_UNITS`.
+    A unit is lent if both the window and the bucket have one. A bucket new
+    to it is as full as it can be if the instance that limited before lent
+    its whole bucket at the last change, plus `START_UNITS`.
 
     Args:
         own_id: id of this instance.
         now_s: the present time.
+        bounds: the window of all quotas.
     """
 
-    def __init__(self, own_id: str, now_s: float):
+    def __init__(
+        self,
+        own_id: str,
+        now_s: float,
+        bounds: quota_window.WindowBounds = quota_window.WindowBounds(),
+    ):
         self._own_id = own_id
+        self._bounds = bounds
         self._candidates: frozenset[str] = frozenset()
         self._since_s = now_s
         self._observed_at_s = now_s
@@ -255,12 +302,14 @@
             if last_sequence is not None:
                 state.bucket.add(returned, now_s)
                 state.recent.add(-returned, now_s)
+                state.log.remove(returned, now_s - MIN_RETURN_AGE_S)
         if is_changed and now_s - state.reset_at_s >= CHANGE_REPORT_S:
             # The other entries report the same change.
             state.reset_at_s = now_s
             state.bucket.cap(START_UNITS, now_s)
         level = state.bucket.level(now_s)
         state.bucket.add(-min(admitted, max(0.0, level)), now_s)
+        state.log.add(admitted, now_s)
 
     def acquire(
         self, limit: WorkspaceLimit, wanted: int, now_s: float
@@ -270,13 +319,17 @@
         rate_per_s = state.limit.rate_per_s
         level = state.bucket.level(now_s)
         affordable = math.floor(level + rate_per_s * MAX_WAIT_S + ROUNDING)
-        units = min(wanted, max(0, affordable))
+        units = min(wanted, max(0, affordable), state.room(now_s))
         state.bucket.add(-units, now_s)
+        state.log.add(units, now_s)
         state.recent.add(units, now_s)
         level -= units
         retry_after_s = 0.0
         if units < wanted:
-            earliest_s = now_s + max(0.0, 1 - level) / rate_per_s
+            earliest_s = now_s + max(
+                max(0.0, 1 - level) / rate_per_s,
+                state.log.room_delay_s(state.nominal, now_s),
+            )
             retry_s = max(state.next_retry_s, earliest_s)
             if retry_s > earliest_s + RETRY_HORIZON_S:
                 retry_s = earliest_s
@@ -294,12 +347,12 @@
         state = self._states.get(limit.workspace)
         if state is None:
             level = START_UNITS + limit.rate_per_s * (now_s - self._since_s)
-            state = _LimitedWorkspace(limit, level, self._since_s, now_s)
+            state = _LimitedWorkspace(
+                limit, self._bounds, level, self._since_s, now_s
+            )
             self._states[limit.workspace] = state
         elif limit.version > state.limit.version:
-            state.limit = limit
-            state.bucket.set_limit(limit.rate_per_s, limit.capacity, now_s)
-            state.next_retry_s = now_s
+            state.set_limit(limit, now_s)
         return state
 
     def _remove_unused(self, now_s):
@@ -307,9 +360,10 @@
         self._states = {
             name: state
             for name, state in self._states.items()
-            if state.bucket.level(now_s) < state.limit.capacity
+            if state.bucket.level(now_s) < state.capacity
+            or state.log.count(now_s)
             or state.limit.rate_per_s * (now_s - self._since_s)
-            < state.limit.capacity
+            < state.capacity
         }
 
 
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -51,6 +51,20 @@
         load(tmp_path, ENTRY + 'slot_allocation = "maybe"\n')
 
 
+@pytest.mark.parametrize(
+    'line',
+    [
+        'quota_window_s = 0',
+        'quota_window_s = inf',
+        'quota_overrun_share = -0.1',
+        'quota_overrun_requests = nan',
+    ],
+)
+def test_bounds_of_quotas_are_checked(tmp_path, line):
+    with pytest.raises(errors.ValidationFailed, match=line.split()[0]):
+        load(tmp_path, ENTRY + line + '\n')
+
+
 @pytest.mark.parametrize('value', ['-1', '40', '"many"', '88.5'])
 def test_memory_limit_is_checked(tmp_path, value):
     with pytest.raises(errors.ValidationFailed, match='memory_limit_mb'):
