Lend units to programs in progress before new ones

Above its quota a workspace was refused requests at random, so that nearly every program lost one and failed. Messages name the program of each wanted unit, and the limiter lends to programs in progress first, then to requests without a program, then to new programs that the rate can carry. Nothing is reserved while the workspace asks for no more than its quota.

The messages to limiters move from quota.py to quota_link.py, and units and buckets from scheduling/quota.py to quota_units.py.

--- a/balsamdale/quota.py
+++ b/balsamdale/quota.py
@@ -15,18 +15,18 @@
 from balsamdale import errors
 from balsamdale import metrics
 from balsamdale import placement
+from balsamdale import quota_link
 from balsamdale import quota_service
 from balsamdale import relay
 from balsamdale import routes
-from balsamdale.scheduling import quota
 from balsamdale.scheduling import quota_account
+from balsamdale.scheduling import quota_programs
+from balsamdale.scheduling import quota_units
 
 __all__ = ['QuotaClient', 'RETRY_BOUNDS_S']
 
 # Time after which a request does not wait for the limiter any longer.
 REPLY_TIMEOUT_S = 0.06
-# Time for the reply itself: units that arrive late are used or returned.
-REQUEST_TIMEOUT_S = 0.25
 # Accounts that an entry keeps, about 1 KB each; the longest unused go first.
 MAX_ACCOUNTS = 4096
 # Retry-After of a request that is refused without the limiter: about the
@@ -36,17 +36,17 @@
 RETRY_BOUNDS_S = (0.05, 0.1, 0.3, 1.0, 3.0, 10.0)
 
 
-@dataclasses.dataclass(frozen=True)
-class _Verdict:
-    """A limiter's decision about one request.
+@dataclasses.dataclass
+class _Waiter:
+    """A request that waits for the limiter's decision.
 
     Attributes:
-        is_admitted: None if the limiter did not decide.
-        delay_s: until the unit may be used, or until the retry.
+        unit: the unit that it needs.
+        future: the verdict; None if the limiter did not decide.
     """
 
-    is_admitted: bool | None
-    delay_s: float = 0.0
+    unit: quota_units.WantedUnit
+    future: asyncio.Future
 
 
 @dataclasses.dataclass
@@ -54,7 +54,7 @@
     """An account with the requests that wait for its next message."""
 
     account: quota_account.Account
-    waiting: list[asyncio.Future] = dataclasses.field(default_factory=list)
+    waiting: list[_Waiter] = dataclasses.field(default_factory=list)
     is_asking: bool = False
     return_timer: asyncio.TimerHandle | None = None
 
@@ -85,14 +85,14 @@
         first_sequence: int,
         record_retry_after: metrics.RecordValue = lambda value, labels: None,
     ):
-        self._relay_links = relay_links
+        self._instance_id = relay_links.instance_id
+        self._limiters = quota_link.LimiterLink(relay_links)
         self._candidates = candidates
         self._entry_count = entry_count
         self._clock = clock
         self._sequence = first_sequence
         self._record_retry_after = record_retry_after
         self._states: dict[str, _WorkspaceState] = {}
-        self._silent: set[str] = set()
         self._probing: set[str] = set()
         self._background = background.BackgroundTasks('quota')
         self._counts = dict.fromkeys(
@@ -101,14 +101,17 @@
                 'refused',
                 'fallback_admitted',
                 'fallback_refused',
-                'messages',
-                'messages_unanswered',
             ),
             0,
         )
 
     async def acquire(
-        self, workspace: routes.Workspace, request_id: str, version: int
+        self,
+        workspace: routes.Workspace,
+        request_id: str,
+        version: int,
+        *,
+        program_id: str = '',
     ) -> None:
         """Acquire a unit for a request; return at once without a limit.
 
@@ -116,6 +119,7 @@
             workspace: the workspace of the request, with its limit.
             request_id: id of the request.
             version: version of the configuration that the limit is from.
+            program_id: id of its program; empty for none.
 
         Raises:
             Refused: the workspace is above its limit.
@@ -128,12 +132,15 @@
         if state.account.take_spare(now_s):
             return
         limiter_id = self._limiter_of(workspace.name)
-        verdict = _Verdict(None)
-        if limiter_id in self._silent:
+        verdict = None
+        if self._limiters.is_silent(limiter_id):
             self._start_probe(state, limiter_id)
         elif limiter_id:
-            verdict = await self._ask_with_others(state, limiter_id)
-        if verdict.is_admitted is None:
+            unit = quota_units.WantedUnit(
+                quota_programs.program_hash(program_id)
+            )
+            verdict = await self._ask_with_others(state, limiter_id, unit)
+        if verdict is None:
             self._decide_locally(state, limiter_id, idle_s, request_id)
         elif verdict.is_admitted:
             await self._wait_for_unit(state, verdict.delay_s)
@@ -163,16 +170,14 @@
             'refused': 'Requests refused by the limiters',
             'fallback_admitted': 'Requests admitted without a limiter',
             'fallback_refused': 'Requests refused without a limiter',
-            'messages': 'Messages to limiters',
-            'messages_unanswered': 'Messages to limiters without a reply',
         }
         return {
             f'quota_{name}': (text, lambda name=name: self._counts[name])
             for name, text in descriptions.items()
-        }
+        } | self._limiters.gauges()
 
     def _find_state(self, workspace, version):
-        limit = quota.WorkspaceLimit(
+        limit = quota_units.WorkspaceLimit(
             workspace.name,
             version,
             workspace.rate_per_s,
@@ -197,27 +202,27 @@
             iter(placement.rank(workspace_name, self._candidates())), ''
         )
 
-    async def _ask_with_others(self, state, limiter_id):
-        """Return the verdict of the limiter, or none if it is late."""
-        waiter = asyncio.get_running_loop().create_future()
-        state.waiting.append(waiter)
+    async def _ask_with_others(self, state, limiter_id, unit):
+        """Return the verdict of the limiter, or None if it is late."""
+        future = asyncio.get_running_loop().create_future()
+        state.waiting.append(_Waiter(unit, future))
         self._start_asking(state)
         try:
-            await asyncio.wait((waiter,), timeout=REPLY_TIMEOUT_S)
+            await asyncio.wait((future,), timeout=REPLY_TIMEOUT_S)
         except asyncio.CancelledError:
-            self._abandon(state, waiter)
+            self._abandon(state, future)
             raise
-        if waiter.done():
-            return waiter.result()
-        waiter.cancel()
+        if future.done():
+            return future.result()
+        future.cancel()
         self._mark_silent(state, limiter_id, 'late')
-        return _Verdict(None)
+        return None
 
-    def _abandon(self, state, waiter):
+    def _abandon(self, state, future):
         """Give back the unit of a request whose caller disconnected."""
-        if not waiter.done():
-            waiter.cancel()
-        elif waiter.result().is_admitted:
+        if not future.done():
+            future.cancel()
+        elif future.result() is not None and future.result().is_admitted:
             self._add_spare(state)
 
     async def _wait_for_unit(self, state, delay_s):
@@ -239,10 +244,10 @@
         try:
             is_due = True
             while is_due:
-                waiters = [w for w in state.waiting if not w.done()]
+                waiters = [w for w in state.waiting if not w.future.done()]
                 state.waiting = waiters[quota_service.MAX_UNITS :]
                 await self._ask(state, waiters[: quota_service.MAX_UNITS])
-                is_due = any(not w.done() for w in state.waiting)
+                is_due = any(not w.future.done() for w in state.waiting)
         finally:
             state.is_asking = False
 
@@ -250,89 +255,35 @@
         account = state.account
         limit = account.limit
         limiter_id = self._limiter_of(limit.workspace)
-        reply = None
+        lease = None
         if limiter_id:
             sent_at_s = self._clock()
             returned, admitted, is_changed = account.next_report(
                 limiter_id, sent_at_s
             )
             message = quota_service.LendUnits(
-                entry_id=self._relay_links.instance_id,
+                entry_id=self._instance_id,
                 workspace=limit.workspace,
                 version=limit.version,
                 rate_per_s=limit.rate_per_s,
                 burst=limit.burst,
-                wanted=len(waiters),
+                programs=tuple(waiter.unit.program for waiter in waiters),
                 returned=returned,
                 sequence=self._next_sequence(),
                 admitted=admitted,
                 is_changed=is_changed,
             )
-            reply = await self._request(state, limiter_id, message)
-            if reply is None:
+            lease = await self._limiters.request(limiter_id, message)
+            if lease is None:
                 account.restore_admitted(admitted)
-        if reply is None:
+        if lease is None:
             _resolve_all(waiters)
             return
-        lease = quota.Lease(
-            reply.units,
-            reply.retry_after_s,
-            reply.wait_s,
-            reply.level,
-            reply.spent,
-        )
         self._counts['units_received'] += lease.units
         account.record_lease(limiter_id, lease, self._clock())
-        self._distribute(state, lease, waiters)
-
-    async def _request(self, state, limiter_id, message):
-        """Return the limiter's reply; None if there is none to use."""
-        self._counts['messages'] += 1
-        try:
-            reply = await self._relay_links.request(
-                limiter_id, message, REQUEST_TIMEOUT_S
-            )
-        except errors.LinkError as error:
-            self._counts['messages_unanswered'] += 1
-            self._mark_silent(state, limiter_id, str(error))
-            return None
-        if limiter_id in self._silent:
-            self._silent.discard(limiter_id)
-            decisions.record('quota_limiter_replies', limiter=limiter_id)
-        is_valid = (
-            isinstance(reply, quota_service.UnitsLent)
-            and reply.is_limiter
-            and 0 <= reply.units <= message.wanted
-            and all(
-                math.isfinite(v) and v >= 0
-                for v in (reply.retry_after_s, reply.wait_s, reply.spent)
-            )
-            and reply.wait_s <= 2 * quota.MAX_WAIT_S
-            and math.isfinite(reply.level)
-        )
-        if is_valid:
-            return reply
-        decisions.record(
-            'quota_reply_ignored',
-            limiter=limiter_id,
-            workspace=message.workspace,
-        )
-        return None
-
-    def _distribute(self, state, lease, waiters):
-        """Give units to the waiting requests, in order of their arrival."""
-        rate_per_s = state.account.limit.rate_per_s
-        for index, waiter in enumerate(waiters):
-            behind = index - lease.units
-            if behind >= 0:
-                verdict = _Verdict(
-                    False, lease.retry_after_s + behind / rate_per_s
-                )
-            else:
-                delay_s = lease.wait_s + (behind + 1) / rate_per_s
-                verdict = _Verdict(True, max(0.0, delay_s))
-            if not waiter.done():
-                waiter.set_result(verdict)
+        for waiter, verdict in zip(waiters, lease.verdicts, strict=True):
+            if not waiter.future.done():
+                waiter.future.set_result(verdict)
             elif verdict.is_admitted:
                 self._add_spare(state)
 
@@ -352,7 +303,7 @@
         account = state.account
         limiter_id = self._limiter_of(account.limit.workspace)
         if account.count_expired(self._clock()):
-            if limiter_id not in self._silent:
+            if not self._limiters.is_silent(limiter_id):
                 self._start_asking(state)
         elif account.spare_count:
             self._schedule_return(state)
@@ -370,14 +321,8 @@
             self._probing.discard(limiter_id)
 
     def _mark_silent(self, state, limiter_id, reason):
-        if limiter_id not in self._silent:
-            self._silent.add(limiter_id)
-            decisions.record(
-                'quota_limiter_silent',
-                limiter=limiter_id,
-                workspace=state.account.limit.workspace,
-                reason=reason,
-            )
+        workspace = state.account.limit.workspace
+        self._limiters.mark_silent(limiter_id, workspace, reason)
 
     def _decide_locally(self, state, limiter_id, idle_s, request_id):
         now_s = self._clock()
@@ -429,5 +374,5 @@
 def _resolve_all(waiters):
     """Tell requests that the limiter did not decide about them."""
     for waiter in waiters:
-        if not waiter.done():
-            waiter.set_result(_Verdict(None))
+        if not waiter.future.done():
+            waiter.future.set_result(None)
--- a/balsamdale/quota_service.py
+++ b/balsamdale/quota_service.py
@@ -15,6 +15,7 @@
 from balsamdale import members
 from balsamdale import metrics
 from balsamdale.scheduling import quota
+from balsamdale.scheduling import quota_units
 from balsamdale.scheduling import quota_window
 
 __all__ = ['LendUnits', 'QuotaService', 'UnitsLent', 'limiter_names']
@@ -35,7 +36,8 @@
         version: version of the configuration that the limit is from.
         rate_per_s: requests per second.
         burst: requests that may exceed the rate at once.
-        wanted: units that are asked for; 0 for a probe.
+        programs: hash of the program of each wanted unit, 0 for none; empty
+            for a probe.
         returned: units lent earlier that were not used.
         sequence: number of the message; increases, also over restarts.
         admitted: requests that the entry admitted without the limiter.
@@ -47,7 +49,7 @@
     version: int
     rate_per_s: float
     burst: float
-    wanted: int
+    programs: tuple[int, ...]
     returned: int
     sequence: int = 0
     admitted: int = 0
@@ -56,23 +58,21 @@
 
 @codec.message
 class UnitsLent:
-    """Reply with the units that are lent; see `scheduling.quota.Lease`.
+    """Reply with the units that are lent; see `scheduling.quota_units.Lease`.
 
     Attributes:
-        units: units lent.
-        retry_after_s: time until the first refused unit may be asked for.
+        admitted: whether each wanted unit is lent, in order of the message.
+        delays_s: time until each unit may be used, or asked for again.
         level: units in the bucket.
         spent: units lent recently to all entries.
-        wait_s: time until the last lent unit may be used.
         is_limiter: False if the instance does not limit this workspace as
             far as it knows, or the message was malformed.
     """
 
-    units: int
-    retry_after_s: float
+    admitted: tuple[bool, ...]
+    delays_s: tuple[float, ...]
     level: float
     spent: float
-    wait_s: float = 0.0
     is_limiter: bool = True
 
 
@@ -153,9 +153,9 @@
                 workspace=message.workspace,
                 factor='not_limiter' if is_valid else 'malformed',
             )
-            yield UnitsLent(0, 0.0, 0.0, 0.0, is_limiter=False)
+            yield UnitsLent((), (), 0.0, 0.0, is_limiter=False)
             return
-        limit = quota.WorkspaceLimit(
+        limit = quota_units.WorkspaceLimit(
             message.workspace,
             message.version,
             message.rate_per_s,
@@ -170,16 +170,16 @@
             message.is_changed,
             now_s,
         )
-        lease = self._limiter.acquire(limit, message.wanted, now_s)
+        wanted = tuple(map(quota_units.WantedUnit, message.programs))
+        lease = self._limiter.acquire(limit, wanted, now_s)
         self._counts['units_lent'] += lease.units
-        self._counts['units_refused'] += message.wanted - lease.units
+        self._counts['units_refused'] += len(wanted) - lease.units
         self._counts['units_returned'] += message.returned
         yield UnitsLent(
-            lease.units,
-            lease.retry_after_s,
+            tuple(verdict.is_admitted for verdict in lease.verdicts),
+            tuple(verdict.delay_s for verdict in lease.verdicts),
             lease.level,
             lease.spent,
-            lease.wait_s,
         )
 
 
@@ -190,7 +190,8 @@
         and message.rate_per_s > 0
         and math.isfinite(message.burst)
         and message.burst >= 0
-        and 0 <= message.wanted <= MAX_UNITS
+        and len(message.programs) <= MAX_UNITS
+        and all(0 <= program < 2**64 for program in message.programs)
         and message.returned >= 0
         and message.admitted >= 0
     )
--- a/balsamdale/scheduling/quota.py
+++ b/balsamdale/scheduling/quota.py
@@ -5,33 +5,19 @@
 through many entries, while the instance that limits it restarts or changes.
 """
 
-import dataclasses
+from collections import abc as collections_abc
 import hashlib
-import math
 
 from balsamdale import placement
+from balsamdale.scheduling import quota_units
 from balsamdale.scheduling import quota_window
+from balsamdale.scheduling import quota_workspace
 
 __all__ = [
     'FallbackShare',
-    'Lease',
     'Limiter',
-    'RecentCount',
-    'TokenBucket',
-    'WorkspaceLimit',
 ]
 
-# Units that a bucket new to its limiter holds at once. An empty one refuses
-# workspaces that are below a limit of a few requests per second; 8 units are
-# within the 20 requests that the requirement allows for.
-START_UNITS = 8.0
-# Longest time that a request waits for its unit instead of being refused:
-# below half of the strictest latency objective of 68 ms.
-MAX_WAIT_S = 0.03
-# Retry times of refused requests are spread over this time.
-RETRY_HORIZON_S = 5.0
-# Time constant of the counts of recent requests.
-RECENT_S = 10.0
 # Age of the youngest unit that can be returned: entries reuse units before.
 MIN_RETURN_AGE_S = 0.5
 # Time for which a lease of another limiter can be part of a sliding window.
@@ -41,166 +27,6 @@
 SUSPENSION_S = 0.8
 # Interval between removals of full buckets that are not in use.
 CLEANUP_INTERVAL_S = 60.0
-# Floating-point error that must not cost a unit.
-ROUNDING = 1e-9
-
-
-@dataclasses.dataclass(frozen=True)
-class WorkspaceLimit:
-    """Quota of a workspace in one version of the configuration.
-
-    Attributes:
-        workspace: name of the workspace.
-        version: version of the configuration.
-        rate_per_s: requests per second; above 0.
-        burst: requests that may exceed the rate at once.
-    """
-
-    workspace: str
-    version: int
-    rate_per_s: float
-    burst: float
-
-    @property
-    def capacity(self) -> float:
-        """Burst of an entry's share; at least one unit, to lend any."""
-        return max(1.0, self.burst)
-
-
-@dataclasses.dataclass(frozen=True)
-class Lease:
-    """Units lent, and when the others that were wanted may be.
-
-    Attributes:
-        units: units lent.
-        retry_after_s: time until the first unit that was refused may be
-            asked for again; 0 if none was refused.
-        wait_s: time until the last lent unit may be used; those before it
-            may be used earlier, at the rate of the limit.
-        level: units in the bucket now; negative while lent units wait.
-        spent: units lent recently to all entries, as `RecentCount` has them.
-    """
-
-    units: int
-    retry_after_s: float
-    wait_s: float = 0.0
-    level: float = 0.0
-    spent: float = 0.0
-
-
-class TokenBucket:
-    """A bucket that fills at `rate_per_s` up to its capacity.
-
-    Args:
-        rate_per_s: units per second.
-        capacity: largest level, also after any time.
-        level: units at the start.
-        now_s: the present time.
-    """
-
-    def __init__(
-        self, rate_per_s: float, capacity: float, level: float, now_s: float
-    ):
-        self._rate_per_s = rate_per_s
-        self._capacity = capacity
-        self._level = min(level, capacity)
-        self._filled_at_s = now_s
-
-    def level(self, now_s: float) -> float:
-        """Return the units at a time; a clock that steps back adds none."""
-        elapsed_s = max(0.0, now_s - self._filled_at_s)
-        self._filled_at_s = max(self._filled_at_s, now_s)
-        self._level = min(
-            self._capacity, self._level + elapsed_s * self._rate_per_s
-        )
-        return self._level
-
-    def set_limit(
-        self, rate_per_s: float, capacity: float, now_s: float
-    ) -> None:
-        """Change the limit; units above a lower capacity are dropped.
-
-        Units lent ahead are forgotten: at a lower rate they could take very
-        long to fill up.
-        """
-        level = max(0.0, self.level(now_s))
-        self._rate_per_s, self._capacity = rate_per_s, capacity
-        self._level = min(level, capacity)
-
-    def add(self, units: float, now_s: float) -> None:
-        """Add units up to the capacity; negative to take them."""
-        self._level = min(self._capacity, self.level(now_s) + units)
-
-    def cap(self, level: float, now_s: float) -> None:
-        """Drop the units above a level."""
-        self._level = min(level, self.level(now_s))
-
-
-class RecentCount:
-    """A count that decays with the time constant `RECENT_S`."""
-
-    def __init__(self):
-        self._count = 0.0
-        self._counted_at_s = 0.0
-
-    def add(self, units: float, now_s: float) -> None:
-        """Count units."""
-        self._count = self.value(now_s) + units
-        self._counted_at_s = now_s
-
-    def value(self, now_s: float) -> float:
-        """Return the decayed count."""
-        age_s = max(0.0, now_s - self._counted_at_s)
-        return self._count * math.exp(-age_s / RECENT_S)
-
-
-class _LimitedWorkspace:
-    """Bucket of one workspace, with its limit and the next retry time."""
-
-    def __init__(self, limit, bounds, level, reset_at_s, now_s):
-        self.limit = limit
-        self.reset_at_s = reset_at_s
-        self._bounds = bounds
-        self.bucket = TokenBucket(
-            limit.rate_per_s, self.capacity, level, now_s
-        )
-        self.log = quota_window.LentLog(bounds.window_s)
-        self.recent = RecentCount()
-        self.next_retry_s = now_s
-
-    @property
-    def nominal(self):
-        """Units that may be lent in a window."""
-        return self._bounds.nominal(self.limit.rate_per_s, self.limit.burst)
-
-    @property
-    def capacity(self):
-        """Size of the bucket, for clumps within the window.
-
-        What it adds to the burst and the units of a new bucket are together
-        the overrun, so that a change of limiter stays within the bounds.
-        """
-        limit = self.limit
-        overrun = self._bounds.overrun(limit.rate_per_s, limit.burst)
-        return max(1.0, limit.burst + max(0.0, overrun - START_UNITS))
-
-    def set_limit(self, limit, now_s):
-        """Use a newer limit.
-
-        A lower one scales the log down: units lent under the higher one
-        would otherwise fill the window and stop the workspace.
-        """
-        nominal = self.nominal
-        self.limit = limit
-        if self.nominal < nominal:
-            self.log.scale(self.nominal / nominal)
-        self.bucket.set_limit(limit.rate_per_s, self.capacity, now_s)
-        self.next_retry_s = now_s
-
-    def room(self, now_s):
-        """Return the whole units that the window still allows."""
-        room = self.nominal - self.log.count(now_s) - ROUNDING
-        return max(0, math.ceil(room))
 
 
 class Limiter:
@@ -228,7 +54,7 @@
         self._since_s = now_s
         self._observed_at_s = now_s
         self._cleaned_at_s = now_s
-        self._states: dict[str, _LimitedWorkspace] = {}
+        self._states: dict[str, quota_workspace.LimitedWorkspace] = {}
         self._sequences: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -273,7 +99,7 @@
 
     def settle(
         self,
-        limit: WorkspaceLimit,
+        limit: quota_units.WorkspaceLimit,
         entry_id: str,
         sequence: int,
         returned: int,
@@ -306,48 +132,27 @@
         if is_changed and now_s - state.reset_at_s >= CHANGE_REPORT_S:
             # The other entries report the same change.
             state.reset_at_s = now_s
-            state.bucket.cap(START_UNITS, now_s)
+            state.bucket.cap(quota_units.START_UNITS, now_s)
         level = state.bucket.level(now_s)
         state.bucket.add(-min(admitted, max(0.0, level)), now_s)
         state.log.add(admitted, now_s)
 
     def acquire(
-        self, limit: WorkspaceLimit, wanted: int, now_s: float
-    ) -> Lease:
+        self,
+        limit: quota_units.WorkspaceLimit,
+        wanted: collections_abc.Sequence[quota_units.WantedUnit],
+        now_s: float,
+    ) -> quota_units.Lease:
         """Lend units, as many of those wanted as the newest limit allows."""
-        state = self._state(limit, now_s)
-        rate_per_s = state.limit.rate_per_s
-        level = state.bucket.level(now_s)
-        affordable = math.floor(level + rate_per_s * MAX_WAIT_S + ROUNDING)
-        units = min(wanted, max(0, affordable), state.room(now_s))
-        state.bucket.add(-units, now_s)
-        state.log.add(units, now_s)
-        state.recent.add(units, now_s)
-        level -= units
-        retry_after_s = 0.0
-        if units < wanted:
-            earliest_s = now_s + max(
-                max(0.0, 1 - level) / rate_per_s,
-                state.log.room_delay_s(state.nominal, now_s),
-            )
-            retry_s = max(state.next_retry_s, earliest_s)
-            if retry_s > earliest_s + RETRY_HORIZON_S:
-                retry_s = earliest_s
-            state.next_retry_s = retry_s + (wanted - units) / rate_per_s
-            retry_after_s = retry_s - now_s
-        return Lease(
-            units,
-            retry_after_s,
-            max(0.0, -level) / rate_per_s if units else 0.0,
-            level,
-            state.recent.value(now_s),
-        )
+        return self._state(limit, now_s).acquire(wanted, now_s)
 
     def _state(self, limit, now_s):
         state = self._states.get(limit.workspace)
         if state is None:
-            level = START_UNITS + limit.rate_per_s * (now_s - self._since_s)
-            state = _LimitedWorkspace(
+            level = quota_units.START_UNITS + limit.rate_per_s * (
+                now_s - self._since_s
+            )
+            state = quota_workspace.LimitedWorkspace(
                 limit, self._bounds, level, self._since_s, now_s
             )
             self._states[limit.workspace] = state
@@ -362,6 +167,7 @@
             for name, state in self._states.items()
             if state.bucket.level(now_s) < state.capacity
             or state.log.count(now_s)
+            or state.programs.expire(now_s)
             or state.limit.rate_per_s * (now_s - self._since_s)
             < state.capacity
         }
@@ -375,7 +181,7 @@
     """
 
     def __init__(self):
-        self._bucket: TokenBucket | None = None
+        self._bucket: quota_units.TokenBucket | None = None
 
     def stop(self) -> None:
         """End the use of the share, as the limiter replies."""
@@ -383,7 +189,7 @@
 
     def admit(
         self,
-        limit: WorkspaceLimit,
+        limit: quota_units.WorkspaceLimit,
         fraction: float,
         level: float,
         is_idle: bool,
@@ -403,7 +209,7 @@
         rate_per_s = limit.rate_per_s * fraction
         capacity = max(1.0, limit.capacity * fraction)
         if self._bucket is None:
-            self._bucket = TokenBucket(
+            self._bucket = quota_units.TokenBucket(
                 rate_per_s, capacity, level * fraction, now_s
             )
         self._bucket.set_limit(rate_per_s, capacity, now_s)
--- a/balsamdale/scheduling/quota_account.py
+++ b/balsamdale/scheduling/quota_account.py
@@ -8,6 +8,7 @@
 import math
 
 from balsamdale.scheduling import quota
+from balsamdale.scheduling import quota_units
 
 __all__ = ['Account']
 
@@ -32,12 +33,12 @@
         replied_at_s: time of the limiter's last reply; None before the first.
     """
 
-    def __init__(self, limit: quota.WorkspaceLimit):
+    def __init__(self, limit: quota_units.WorkspaceLimit):
         self.limit = limit
         self.replied_at_s: float | None = None
         self._reply_level = 0.0
         self._reply_share = 0.0
-        self._own_count = quota.RecentCount()
+        self._own_count = quota_units.RecentCount()
         self._fallback = quota.FallbackShare()
         self._spare_until_s: list[float] = []
         self._admitted = 0
@@ -62,7 +63,7 @@
         self._last_request_s = now_s
         return idle_s
 
-    def set_limit(self, limit: quota.WorkspaceLimit) -> None:
+    def set_limit(self, limit: quota_units.WorkspaceLimit) -> None:
         """Use a limit unless a newer one is known."""
         if limit.version > self.limit.version:
             self.limit = limit
@@ -109,7 +110,7 @@
         self._admitted += admitted
 
     def record_lease(
-        self, limiter_id: str, lease: quota.Lease, now_s: float
+        self, limiter_id: str, lease: quota_units.Lease, now_s: float
     ) -> None:
         """Record a reply of the limiter."""
         self._fallback.stop()
@@ -120,7 +121,7 @@
             self._own_count.value(now_s)
         ):
             # A new or restarted limiter counts from zero.
-            self._own_count = quota.RecentCount()
+            self._own_count = quota_units.RecentCount()
             self._own_count.add(lease.units, now_s)
         self._lender_id = limiter_id
         self._reply_level, self.replied_at_s = lease.level, now_s
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -126,7 +126,10 @@
         if state.workspace is None or not state.workspace.rate_per_s:
             return
         await self._context.quota.acquire(
-            state.workspace, state.call.request_id, state.version
+            state.workspace,
+            state.call.request_id,
+            state.version,
+            program_id=state.call.program_id,
         )
         state.holds_unit = True
         self._record_stage(state, 'quota_s')
