Let requests of programs in progress wait for a unit that is due

They were refused although a unit would come within a fraction of the time that a refusal and a retry cost. They may now wait up to 0.25 s, unless the bucket has been empty for 0.5 s; the entry tells how long a request can wait.

--- a/balsamdale/quota.py
+++ b/balsamdale/quota.py
@@ -32,6 +32,8 @@
 # Retry-After of a request that is refused without the limiter: about the
 # time in which a limiter that restarts or changes replies again.
 FALLBACK_RETRY_AFTER_S = 0.5
+# Share of its remaining time that a request may wait for its unit.
+MAX_WAIT_SHARE = 0.25
 # Histogram buckets of Retry-After, in seconds.
 RETRY_BOUNDS_S = (0.05, 0.1, 0.3, 1.0, 3.0, 10.0)
 
@@ -112,6 +114,7 @@
         version: int,
         *,
         program_id: str = '',
+        remaining_s: float = 0.0,
     ) -> None:
         """Acquire a unit for a request; return at once without a limit.
 
@@ -120,6 +123,7 @@
             request_id: id of the request.
             version: version of the configuration that the limit is from.
             program_id: id of its program; empty for none.
+            remaining_s: time until its deadline; 0 if it cannot wait.
 
         Raises:
             Refused: the workspace is above its limit.
@@ -137,7 +141,8 @@
             self._start_probe(state, limiter_id)
         elif limiter_id:
             unit = quota_units.WantedUnit(
-                quota_programs.program_hash(program_id)
+                quota_programs.program_hash(program_id),
+                _max_wait_s(remaining_s),
             )
             verdict = await self._ask_with_others(state, limiter_id, unit)
         if verdict is None:
@@ -268,6 +273,7 @@
                 rate_per_s=limit.rate_per_s,
                 burst=limit.burst,
                 programs=tuple(waiter.unit.program for waiter in waiters),
+                max_waits_s=tuple(w.unit.max_wait_s for w in waiters),
                 returned=returned,
                 sequence=self._next_sequence(),
                 admitted=admitted,
@@ -376,3 +382,8 @@
     for waiter in waiters:
         if not waiter.future.done():
             waiter.future.set_result(None)
+
+
+def _max_wait_s(remaining_s):
+    wait_s = max(0.0, MAX_WAIT_SHARE * remaining_s)
+    return min(quota_units.MAX_PROGRAM_WAIT_S, wait_s)
--- a/balsamdale/quota_link.py
+++ b/balsamdale/quota_link.py
@@ -90,9 +90,13 @@
         and len(message.programs) == len(reply.delays_s)
         and all(math.isfinite(v) and v >= 0 for v in reply.delays_s)
         and not any(
-            is_admitted and delay_s > 2 * quota_units.MAX_WAIT_S
-            for is_admitted, delay_s in zip(
-                reply.admitted, reply.delays_s, strict=True
+            is_admitted
+            and delay_s > 2 * max(max_wait_s, quota_units.MAX_WAIT_S)
+            for is_admitted, delay_s, max_wait_s in zip(
+                reply.admitted,
+                reply.delays_s,
+                message.max_waits_s,
+                strict=True,
             )
         )
         and math.isfinite(reply.spent)
--- a/balsamdale/quota_service.py
+++ b/balsamdale/quota_service.py
@@ -38,6 +38,7 @@
         burst: requests that may exceed the rate at once.
         programs: hash of the program of each wanted unit, 0 for none; empty
             for a probe.
+        max_waits_s: how long each request can wait, in the same order.
         returned: units lent earlier that were not used.
         sequence: number of the message; increases, also over restarts.
         admitted: requests that the entry admitted without the limiter.
@@ -54,6 +55,7 @@
     sequence: int = 0
     admitted: int = 0
     is_changed: bool = False
+    max_waits_s: tuple[float, ...] = ()
 
 
 @codec.message
@@ -170,7 +172,9 @@
             message.is_changed,
             now_s,
         )
-        wanted = tuple(map(quota_units.WantedUnit, message.programs))
+        wanted = tuple(
+            map(quota_units.WantedUnit, message.programs, message.max_waits_s)
+        )
         lease = self._limiter.acquire(limit, wanted, now_s)
         self._counts['units_lent'] += lease.units
         self._counts['units_refused'] += len(wanted) - lease.units
@@ -191,6 +195,8 @@
         and math.isfinite(message.burst)
         and message.burst >= 0
         and len(message.programs) <= MAX_UNITS
+        and len(message.programs) == len(message.max_waits_s)
+        and all(0 <= wait_s < math.inf for wait_s in message.max_waits_s)
         and all(0 <= program < 2**64 for program in message.programs)
         and message.returned >= 0
         and message.admitted >= 0
--- a/balsamdale/scheduling/quota_units.py
+++ b/balsamdale/scheduling/quota_units.py
@@ -19,6 +19,9 @@
 # Longest time that a request waits for its unit instead of being refused:
 # below half of the strictest latency objective of 68 ms.
 MAX_WAIT_S = 0.03
+# Longest time that a request of a program in progress waits: below half of the
+# shortest deadline of 1.1 s, and short against a refusal and a retry.
+MAX_PROGRAM_WAIT_S = 0.25
 # Time constant of the counts of recent requests.
 RECENT_S = 10.0
 # Floating-point error that must not cost a unit.
@@ -53,9 +56,12 @@
 
     Attributes:
         program: hash of the request's program; 0 if it has none.
+        max_wait_s: how long the request can wait, if its program is in
+            progress.
     """
 
     program: int = 0
+    max_wait_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/balsamdale/scheduling/quota_workspace.py
+++ b/balsamdale/scheduling/quota_workspace.py
@@ -20,6 +20,10 @@
 # progress while the workspace asks for more than its quota; requests without
 # a program leave half of it.
 RESERVE_SHARE = 1 / 3
+# Time since the bucket last had a unit after which nobody waits longer than
+# `MAX_WAIT_S`: a workspace that stays above its limit would otherwise have a
+# standing queue that delays all of its requests.
+EMPTY_S = 0.5
 
 
 class LimitedWorkspace:
@@ -42,6 +46,7 @@
         )
         self.log = quota_window.LentLog(bounds.window_s)
         self.recent = quota_units.RecentCount()
+        self._filled_at_s = now_s
         self.programs = quota_programs.Programs()
         # Units asked for, lent or not.
         self._demand = quota_window.LentLog(bounds.window_s)
@@ -85,18 +90,25 @@
         """Decide about wanted units, those of programs in progress first."""
         self.programs.expire(now_s)
         self._demand.add(len(wanted), now_s)
+        if self.bucket.level(now_s) >= 1:
+            self._filled_at_s = now_s
+        can_wait = now_s - self._filled_at_s <= EMPTY_S
         verdicts = {}
         delays_s: dict[int, float] = {}
         for order, index in sorted(
             (self._order(unit), index) for index, unit in enumerate(wanted)
         ):
             unit = wanted[index]
-            # Once one is refused, so are those after it in the same order.
+            # Nothing changes for those after a refused one of the same order.
             delay_s = delays_s.get(order)
             if delay_s is None:
                 delay_s = self._delay_s(order, now_s)
-            if delay_s <= quota_units.MAX_WAIT_S + quota_units.ROUNDING:
+            max_wait_s = quota_units.MAX_WAIT_S
+            if order == 0 and can_wait:
+                max_wait_s = max(max_wait_s, _program_wait_s(unit))
+            if delay_s <= max_wait_s + quota_units.ROUNDING:
                 verdicts[index] = self._lend(unit, delay_s, now_s)
+                delays_s.pop(order, None)
                 continue
             delays_s[order] = delay_s
             verdicts[index] = self._refuse(unit, order, delay_s, now_s)
@@ -164,3 +176,7 @@
         needed = expected + self.programs.requests - 1 - supply
         # A full bucket must admit one, whatever was learned.
         return max(0.0, min(needed, self.capacity - 1))
+
+
+def _program_wait_s(unit):
+    return min(unit.max_wait_s, quota_units.MAX_PROGRAM_WAIT_S)
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -130,6 +130,7 @@
             state.call.request_id,
             state.version,
             program_id=state.call.program_id,
+            remaining_s=state.deadline_s - self._context.clock(),
         )
         state.holds_unit = True
         self._record_stage(state, 'quota_s')
--- a/tests/scheduling/test_quota_programs.py
+++ b/tests/scheduling/test_quota_programs.py
@@ -72,7 +72,7 @@
             return
         name = program['hash'] if self.names_programs else 0
         self.limiter.observe(frozenset('x'), now_s)
-        unit = quota_units.WantedUnit(name)
+        unit = quota_units.WantedUnit(name, 0.25)
         (verdict,) = self.limiter.acquire(self.limit, (unit,), now_s).verdicts
         later_s = now_s + verdict.delay_s
         if verdict.is_admitted:
@@ -130,6 +130,23 @@
     assert limiter.acquire(limit, (new,) * 9, 5.2).units == 9
 
 
+def test_program_in_progress_waits_unless_the_bucket_stays_empty():
+    limit = quota_units.WorkspaceLimit('w', 1, 10.0, 10.0)
+    limiter = quota.Limiter('x', -100.0)
+    known, hurried = (quota_units.WantedUnit(1, s) for s in (0.25, 0.0))
+    assert limiter.acquire(limit, (hurried,) * 30, 0.0).units == 28
+    wanted = (quota_units.WantedUnit(2, 0.25), hurried, known, known, known)
+    verdicts = limiter.acquire(limit, wanted, 0.0).verdicts
+    assert [v.is_admitted for v in verdicts] == [False] * 2 + [True] * 2 + [
+        False
+    ]
+    assert [v.delay_s for v in verdicts[2:4]] == pytest.approx([0.1, 0.2])
+    # Others keep the bucket empty.
+    for step in range(1, 8):
+        lease = limiter.acquire(limit, (known,), 0.1 * step)
+        assert lease.units == (step <= 5)
+
+
 def test_number_of_programs_is_bounded(monkeypatch):
     monkeypatch.setattr(quota_programs, 'MAX_PROGRAMS', 3)
     programs = quota_programs.Programs()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -263,8 +263,10 @@
         {'rate_per_s': -1.0},
         {'burst': float('inf')},
         {'programs': (-1,)},
-        {'programs': (0,) * 1001},
+        {'programs': (0,) * 1001, 'max_waits_s': (0.0,) * 1001},
         {'returned': -5},
+        {'max_waits_s': (float('nan'),)},
+        {'max_waits_s': ()},
         {'admitted': -5},
         {'workspace': ''},
     ),
@@ -279,6 +281,7 @@
         'burst': 1.0,
         'programs': (1,),
         'returned': 0,
+        'max_waits_s': (0.1,),
     }
     message = quota_service.LendUnits(**{**fields, **changes})
     service = fleet.services[LIMITER]
