--- a/balsamdale/quota_service.py
+++ b/balsamdale/quota_service.py
@@ -15,6 +15,8 @@
 from balsamdale import members
 from balsamdale import metrics
 from balsamdale.scheduling import quota
+from balsamdale.scheduling import quota_units
+from balsamdale.scheduling import quota_window
 
 __all__ = ['LendUnits', 'QuotaService', 'UnitsLent', 'limiter_names']
 
@@ -34,7 +36,9 @@
         version: version of the configuration that the limit is from.
         rate_per_s: requests per second.
         burst: requests that may exceed the rate at once.
-        wanted: units that are asked for; 0 for a probe.
+        programs: hash of the program of each wanted unit, 0 for none; empty
+            for a probe.
+        max_waits_s: how long each request can wait, in the same order.
         returned: units lent earlier that were not used.
         sequence: number of the message; increases, also over restarts.
         admitted: requests that the entry admitted without the limiter.
@@ -46,32 +50,31 @@
     version: int
     rate_per_s: float
     burst: float
-    wanted: int
+    programs: tuple[int, ...]
     returned: int
     sequence: int = 0
     admitted: int = 0
     is_changed: bool = False
+    max_waits_s: tuple[float, ...] = ()
 
 
 @codec.message
 class UnitsLent:
-    """Reply with the units that are lent; see `scheduling.quota.Lease`.
+    """Reply with the units that are lent; see `scheduling.quota_units.Lease`.
 
     Attributes:
-        units: units lent.
-        retry_after_s: time until the first refused unit may be asked for.
+        admitted: whether each wanted unit is lent, in order of the message.
+        delays_s: time until each unit may be used, or asked for again.
         level: units in the bucket.
         spent: units lent recently to all entries.
-        wait_s: time until the last lent unit may be used.
         is_limiter: False if the instance does not limit this workspace as
             far as it knows, or the message was malformed.
     """
 
-    units: int
-    retry_after_s: float
+    admitted: tuple[bool, ...]
+    delays_s: tuple[float, ...]
     level: float
     spent: float
-    wait_s: float = 0.0
     is_limiter: bool = True
 
 
@@ -89,6 +92,7 @@
         candidates: returns the ids of the instances that may limit, with
             this one if it may.
         clock: returns the present time in seconds.
+        bounds: the window of all quotas.
     """
 
     def __init__(
@@ -96,10 +100,11 @@
         links: link.Links,
         candidates: collections_abc.Callable[[], list[str]],
         clock: collections_abc.Callable[[], float],
+        bounds: quota_window.WindowBounds = quota_window.WindowBounds(),
     ):
         self._candidates = candidates
         self._clock = clock
-        self._limiter = quota.Limiter(links.instance_id, clock())
+        self._limiter = quota.Limiter(links.instance_id, clock(), bounds)
         self._counts = dict.fromkeys(
             ('units_lent', 'units_refused', 'units_returned', 'ignored'), 0
         )
@@ -150,9 +155,9 @@
                 workspace=message.workspace,
                 factor='not_limiter' if is_valid else 'malformed',
             )
-            yield UnitsLent(0, 0.0, 0.0, 0.0, is_limiter=False)
+            yield UnitsLent((), (), 0.0, 0.0, is_limiter=False)
             return
-        limit = quota.WorkspaceLimit(
+        limit = quota_units.WorkspaceLimit(
             message.workspace,
             message.version,
             message.rate_per_s,
@@ -167,16 +172,18 @@
             message.is_changed,
             now_s,
         )
-        lease = self._limiter.acquire(limit, message.wanted, now_s)
+        wanted = tuple(
+            map(quota_units.WantedUnit, message.programs, message.max_waits_s)
+        )
+        lease = self._limiter.acquire(limit, wanted, now_s)
         self._counts['units_lent'] += lease.units
-        self._counts['units_refused'] += message.wanted - lease.units
+        self._counts['units_refused'] += len(wanted) - lease.units
         self._counts['units_returned'] += message.returned
         yield UnitsLent(
-            lease.units,
-            lease.retry_after_s,
+            tuple(verdict.is_admitted for verdict in lease.verdicts),
+            tuple(verdict.delay_s for verdict in lease.verdicts),
             lease.level,
             lease.spent,
-            lease.wait_s,
         )
 
 
@@ -187,7 +194,10 @@
         and message.rate_per_s > 0
         and math.isfinite(message.burst)
         and message.burst >= 0
-        and 0 <= message.wanted <= MAX_UNITS
+        and len(message.programs) <= MAX_UNITS
+        and len(message.programs) == len(message.max_waits_s)
+        and all(0 <= wait_s < math.inf for wait_s in message.max_waits_s)
+        and all(0 <= program < 2**64 for program in message.programs)
         and message.returned >= 0
         and message.admitted >= 0
     )
