--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -96,6 +96,7 @@
             self._limiter_names,
             clocks.monotonic,
             settings.quota_bounds,
+            is_standby=True,
         )
         self.links.serve(discovery.ReportLeaving, self._on_leaving)
         found_allocators = allocators.Allocators(
--- a/balsamdale/quota_service.py
+++ b/balsamdale/quota_service.py
@@ -93,6 +93,8 @@
             this one if it may.
         clock: returns the present time in seconds.
         bounds: the window of all quotas.
+        is_standby: whether other instances limit as long as there are any,
+            so that nothing is observed before the first message.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         candidates: collections_abc.Callable[[], list[str]],
         clock: collections_abc.Callable[[], float],
         bounds: quota_window.WindowBounds = quota_window.WindowBounds(),
+        is_standby: bool = False,
     ):
         self._candidates = candidates
         self._clock = clock
@@ -108,10 +111,14 @@
         self._counts = dict.fromkeys(
             ('units_lent', 'units_refused', 'units_returned', 'ignored'), 0
         )
+        self._is_needed = asyncio.Event()
+        if not is_standby:
+            self._is_needed.set()
         links.serve(LendUnits, self._on_lend_units)
 
     async def run(self) -> None:
         """Observe the clock and the known instances until cancelled."""
+        await self._is_needed.wait()
         while True:
             self._observe()
             await asyncio.sleep(OBSERVE_INTERVAL_S)
@@ -145,6 +152,7 @@
         return now_s
 
     async def _on_lend_units(self, _sender, message):
+        self._is_needed.set()
         now_s = self._observe()
         is_valid = _is_valid(message)
         if not is_valid or not self._limiter.is_responsible(message.workspace):
