--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 
+from balsamdale import api_keys
 from balsamdale import background
 from balsamdale import decisions
 from balsamdale import discovery
@@ -20,7 +21,7 @@
 from balsamdale.scheduling import balance
 from balsamdale.scheduling import retry_budget
 
-__all__ = ['CALLER_RETRY_AFTER_S', 'Attempts', 'unknown_key_refusal']
+__all__ = ['CALLER_RETRY_AFTER_S', 'Attempts']
 
 # Attempts of one request, including those that reached no server.
 ATTEMPT_LIMIT = 4
@@ -182,12 +183,11 @@
         table = self._context.table()
         if state.workspace is None or table.version == state.version:
             return
-        workspace = table.find_workspace(state.call.key_digest)
-        if workspace is not None and workspace.name == state.workspace.name:
+        if api_keys.is_in_force(state.call, state.workspace, table):
             return
         if state.may_have_run:
             raise self._no_server_refusal(state)
-        raise unknown_key_refusal()
+        raise api_keys.unknown_key_refusal()
 
     def _no_server_refusal(self, state):
         """Return the refusal of a request that has no attempt left."""
@@ -402,13 +402,6 @@
     )
 
 
-def unknown_key_refusal() -> errors.Refused:
-    """Return the refusal of a request without a key that is in force."""
-    return errors.Refused(
-        'unknown_key', 401, 'the API key is missing or not in force'
-    )
-
-
 def _resuming_call(state):
     """Return the call to send: one that goes on if events were delivered."""
     state.reader.discard_incomplete_event()
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -244,6 +244,27 @@
             return self.call.affinity
         return self.call.object_key if self.route.is_sticky else ''
 
+    def log_fields(self) -> dict[str, object]:
+        """Return what the decision log tells of the request at its end."""
+        fields = {
+            'route': self.route.name,
+            'version': self.version,
+            'server': self.server_id,
+            'status': self.status,
+            'tries': self.attempts,
+            'load': round(self.load, 1),
+            'told_age_s': round(min(self.report_age_s, 999.0), 2),
+            'chosen_by': self.chosen_by,
+            'events': self.reader.count,
+            **self.stage_times_s,
+        }
+        if self.workspace is not None:
+            fields['workspace'] = self.workspace.name
+        if self.waited_s:
+            fields['waited_s'] = round(self.waited_s, 4)
+            fields['allocator'] = self.allocator
+        return fields
+
     @property
     def priority(self) -> int:
         """Rank in queues: the workspace's, or else the route's; 0 first."""
--- a/balsamdale/scheduling/balance.py
+++ b/balsamdale/scheduling/balance.py
@@ -11,11 +11,11 @@
 
 from collections import abc as collections_abc
 import dataclasses
-import hashlib
 import heapq
 import typing
 
 from balsamdale import discovery
+from balsamdale import placement
 from balsamdale.scheduling import finish_time
 from balsamdale.scheduling import outliers
 from balsamdale import wire
@@ -403,13 +403,8 @@
         local = [
             s for s in servers if s.failure_domain == self._failure_domain
         ]
-
-        def weight(server):
-            return hashlib.blake2b(
-                f'{affinity}|{server.server_id}'.encode(), digest_size=8
-            ).digest()
-
-        return max(local or servers, key=weight).server_id
+        ids = [s.server_id for s in local or servers]
+        return placement.rank(affinity, ids)[0]
 
     def _state(self, server_id):
         return self._states.setdefault(server_id, _ServerState())
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -10,6 +10,7 @@
 import dataclasses
 import zlib
 
+from balsamdale import api_keys
 from balsamdale import archive_messages
 from balsamdale import attempts
 from balsamdale import decisions
@@ -95,7 +96,7 @@
             raise errors.Refused(
                 'no_route', 404, 'no route matches this host and path'
             )
-        workspace = _find_workspace(call, table, route)
+        workspace = api_keys.find_workspace(call, table, route)
         if self._context.quarantine.is_quarantined(request_state.digest(call)):
             raise errors.Refused(
                 'quarantined', 503, 'this request has crashed backend servers'
@@ -389,41 +390,11 @@
         if call.program_id:
             fields['program'] = call.program_id
         if state is not None:
-            if state.workspace is not None:
-                fields['workspace'] = state.workspace.name
-            fields.update(
-                route=state.route.name,
-                version=state.version,
-                server=state.server_id,
-                status=state.status,
-                tries=state.attempts,
-                load=round(state.load, 1),
-                told_age_s=round(min(state.report_age_s, 999.0), 2),
-                chosen_by=state.chosen_by,
-                events=state.reader.count,
-                **state.stage_times_s,
-            )
-            if self.attempts.uses_slots(state):
-                fields['waited_s'] = round(state.waited_s, 4)
-                fields['allocator'] = state.allocator
+            fields.update(state.log_fields())
         fields['took_s'] = round(took_s, 4)
         decisions.record('request', **fields)
 
 
-def _find_workspace(call, table, route):
-    """Return the workspace of a caller's key; None if none is needed.
-
-    Raises:
-        Refused: the key is missing or not in force.
-    """
-    if route.is_public or not table.workspaces:
-        return None
-    workspace = table.find_workspace(call.key_digest)
-    if workspace is None:
-        raise attempts.unknown_key_refusal()
-    return workspace
-
-
 def _timed_out(state):
     if state.attempts:
         return errors.Refused(
