--- a/balsamdale/porcelain.py
+++ b/balsamdale/porcelain.py
@@ -187,6 +187,8 @@
         return ('link', line['peer'])
     if event in ('store_lost', 'store_regained'):
         return ('store',)
+    if event in ('quota_limiter_silent', 'quota_limiter_replies'):
+        return ('limiter', line['limiter'])
     if event in ('folder_joined', 'folder_left'):
         return ('folder', line['folder'])
     if event in ('configuration_in_force', 'started', 'stopping'):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -16,6 +16,12 @@
         {'at_s': 1.0, 'instance': 'a', 'event': 'store_regained'},
         {'at_s': 2.0, 'instance': 'a', 'event': 'store_lost'},
         {'at_s': 3.0, 'instance': 'a', 'event': 'link_lost', 'peer': 'd'},
+        {
+            'at_s': 3.2,
+            'instance': 'a',
+            'event': 'quota_limiter_silent',
+            'limiter': 'e',
+        },
         {
             'at_s': 4.0,
             'instance': 'a',
@@ -41,6 +47,7 @@
     assert [line['event'] for line in explanation] == [
         'store_lost',
         'link_lost',
+        'quota_limiter_silent',
         'server_unreachable',
         'request',
     ]
