--- a/tests/test_allocation.py
+++ b/tests/test_allocation.py
@@ -328,6 +328,28 @@
     assert not off.is_used('s')
 
 
+@scenario
+async def test_auto_asks_only_while_few_slots_are_free():
+    """Guards against a wait for the allocator at each request."""
+    site = Site('auto', [builders.server('s0', slots=8)])
+    for name, client in site.clients.items():
+        client.record_load(builders.server('s0'), SlowdownReport(0, 0, 8))
+        assert await site.hold(0.01, name) <= allocation.REFRESH_WAIT_S
+    assert sum(c.counts['chosen'] for c in site.clients.values()) == 3
+    tasks = []
+    for number in range(12):
+        # Far enough apart for the entries to report what they hold.
+        tasks.append(asyncio.create_task(site.hold(0.5, f'e{number % 3 + 1}')))
+        await asyncio.sleep(0.03)
+        assert site.allocator().held('s0') <= 8
+    waits = await asyncio.gather(*tasks)
+    assert max(waits) > 0.05
+    assert sum(c.counts['allocated'] for c in site.clients.values()) >= 4
+    site.cut('e1', ALLOCATOR)
+    await asyncio.sleep(1.0)
+    assert await site.hold(0.01) == pytest.approx(allocation.REFRESH_WAIT_S)
+
+
 def test_requests_beyond_the_slots_are_served_by_a_deployment(tmp_path):
     """With the allocator stopped, requests are still served."""
 
