--- a/balsamdale/holdings.py
+++ b/balsamdale/holdings.py
@@ -31,8 +31,8 @@
 # Interval of the checks of what was reported, and of regular reports.
 CHECK_INTERVAL_S = 0.2
 REFRESH_INTERVAL_S = 0.7
-# Age up to which the load that an allocator reported is used as it is: with
-# 0.25 s, entries that had not asked for long took more slots than there are.
+# Age up to which the load that an allocator reported is used as it is. By an
+# older one, entries take more slots than there are.
 FRESH_S = 0.05
 # Outcomes kept for the next report to one allocator.
 OUTCOME_LIMIT = 64
