Record how responses are framed and how their connections end

Cause: nothing logged or counted tells whether a response ended by its length, its last chunk or its connection, and whether that connection was closed by the server, lost with an error or abandoned by us, so the three hypotheses of the incident look alike.

Change: a connection keeps a record of its latest response. The request's log line has framing, connection and, for streams, incomplete_bytes; gauges balsamdale_responses_FRAMING_CONNECTION count them. No decision changes.

Each hypothesis now has its own mark on a request that ended as ok: 1. framing connection, connection lost; 2. framing connection, connection closed, incomplete_bytes above 0; 3. framing connection, connection abandoned.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -203,6 +203,7 @@
     async def _attempt(self, state, server, body, timeout_s, deliver):
         """Make one attempt; return False if another one may follow."""
         state.server_id = server.server_id
+        state.transfer = None
         try:
             with outcomes.recording(self._context, state, server) as attempt:
                 attempt.has_run = await self._send(
@@ -328,6 +329,7 @@
         decisions.record('server_recovered', server=server.server_id)
 
     async def _receive_response(self, state, server, response, deliver):
+        state.transfer = response.transfer
         self._record_metadata(server, response.metadata)
         if response.metadata.was_not_run:
             await response.body()
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -11,6 +11,7 @@
 from balsamdale import discovery
 from balsamdale import errors
 from balsamdale import exchange
+from balsamdale import http_connection
 from balsamdale import listener
 from balsamdale import members
 from balsamdale import metrics
@@ -196,6 +197,7 @@
             **self.quota_client.gauges(),
             **self.quota_service.gauges(),
             **self._slot_gauges(),
+            **self._response_gauges(),
             'requests_in_flight': (
                 'Requests of callers',
                 lambda: self.handler.in_flight,
@@ -249,6 +251,21 @@
             ),
         }
 
+    def _response_gauges(self):
+        """Return the gauges of responses by framing and end."""
+        return {
+            f'responses_{framing}_{connection}': (
+                f'Responses that end by their {framing}: connection '
+                f'{connection} at the end',
+                functools.partial(
+                    self.http_client.response_counts.__getitem__,
+                    (framing, connection),
+                ),
+            )
+            for framing in http_connection.FRAMINGS
+            for connection in http_connection.CONNECTION_STATES
+        }
+
     def _slot_gauges(self):
         """Return the gauges of slots, asked for and allocated here."""
         client, service = self.slot_client, self.slot_service
--- a/balsamdale/events.py
+++ b/balsamdale/events.py
@@ -30,6 +30,11 @@
     def is_complete(self) -> bool:
         return not self._partial_line and not self._data_lines
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes after the last complete event."""
+        return self._line_bytes + len(self._partial_line)
+
     def feed(self, chunk: bytes) -> None:
         """Parse the next chunk of the stream."""
         lines = (self._partial_line + chunk).split(b'\n')
@@ -46,8 +51,7 @@
         """
         self._held += chunk
         self.feed(chunk)
-        incomplete_bytes = self._line_bytes + len(self._partial_line)
-        whole_bytes = len(self._held) - incomplete_bytes
+        whole_bytes = len(self._held) - self.incomplete_bytes
         whole = bytes(self._held[:whole_bytes])
         del self._held[:whole_bytes]
         return whole
--- a/balsamdale/exchange.py
+++ b/balsamdale/exchange.py
@@ -5,18 +5,19 @@
 """
 
 import asyncio
+import collections
 from collections import abc as collections_abc
 import contextlib
 import dataclasses
 import functools
 
 import aiohttp
-from aiohttp import client_proto
 from aiohttp import client_reqrep
 import multidict
 import yarl
 
 from balsamdale import errors
+from balsamdale import http_connection
 from balsamdale import sockets
 from balsamdale import wire
 
@@ -36,7 +37,7 @@
 LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
 
-class _Protocol(client_proto.ResponseHandler):
+class _Protocol(http_connection.Connection):
     """A connection that discards responses to earlier requests."""
 
     id_header = ''
@@ -68,11 +69,19 @@
 
 @dataclasses.dataclass
 class Response:
-    """A server's response, whose body has not been read yet."""
+    """A server's response, whose body has not been read yet.
+
+    Attributes:
+        status: HTTP status.
+        headers: all headers.
+        metadata: what status and headers say.
+        transfer: how the body is framed, and what became of it.
+    """
 
     status: int
     headers: multidict.CIMultiDictProxy
     metadata: wire.ResponseMetadata
+    transfer: http_connection.Transfer
     _response: aiohttp.ClientResponse
 
     async def body(self) -> bytes:
@@ -94,6 +103,8 @@
 
     Attributes:
         requests_sent: attempts so far, including failed ones.
+        response_counts: responses by framing of the body and state of the
+            connection at their end.
     """
 
     def __init__(
@@ -103,6 +114,9 @@
         self._connections_per_server = connections_per_server
         self._session: aiohttp.ClientSession | None = None
         self.requests_sent = 0
+        self.response_counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     @contextlib.asynccontextmanager
     async def send(
@@ -146,9 +160,18 @@
                 metadata = self._wire_format.decode_response(
                     response.status, response.headers
                 )
-                yield Response(
-                    response.status, response.headers, metadata, response
-                )
+                transfer = response.transfer
+                try:
+                    yield Response(
+                        response.status,
+                        response.headers,
+                        metadata,
+                        transfer,
+                        response,
+                    )
+                finally:
+                    ending = transfer.framing, transfer.connection
+                    self.response_counts[ending] += 1
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -198,6 +221,7 @@
             self._session = aiohttp.ClientSession(
                 connector=connector,
                 request_class=_Request,
+                response_class=http_connection.ClientResponse,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 trust_env=False,
--- /dev/null
+++ b/balsamdale/http_connection.py
@@ -0,0 +1,90 @@
+"""HTTP connections to servers, which record how each response ended."""
+
+import dataclasses
+
+import aiohttp
+from aiohttp import client_proto
+
+__all__ = [
+    'CONNECTION_STATES',
+    'FRAMINGS',
+    'ClientResponse',
+    'Connection',
+    'Transfer',
+]
+
+# What tells the end of a body: its length, its last chunk, or only the end of
+# the connection.
+FRAMINGS = ('length', 'chunks', 'connection')
+# Whether a connection is open, was closed by the server, was lost with an
+# error, or was closed by this instance.
+CONNECTION_STATES = ('open', 'closed', 'lost', 'abandoned')
+
+
+@dataclasses.dataclass
+class Transfer:
+    """How the body of a response is framed, and what became of it.
+
+    Attributes:
+        framing: one of `FRAMINGS`.
+        connection: one of `CONNECTION_STATES`.
+    """
+
+    framing: str
+    connection: str = 'open'
+
+
+class Connection(client_proto.ResponseHandler):
+    """A connection that records how its latest response ended.
+
+    Attributes:
+        transfer: the latest response; None before the first.
+    """
+
+    transfer: Transfer | None = None
+    _state = 'open'
+    _is_closed_by_server = False
+
+    async def read(self):
+        message, payload = await super().read()
+        self.transfer = Transfer(_framing(message), self._state)
+        return message, payload
+
+    def eof_received(self):
+        self._is_closed_by_server = True
+        super().eof_received()
+
+    def connection_lost(self, exc):
+        if exc is not None:
+            self._state = 'lost'
+        elif self._is_closed_by_server:
+            self._state = 'closed'
+        else:
+            self._state = 'abandoned'
+        if self.transfer is not None:
+            self.transfer.connection = self._state
+        super().connection_lost(exc)
+
+
+class ClientResponse(aiohttp.ClientResponse):
+    """A response with the record of its transfer.
+
+    Attributes:
+        transfer: how its body is framed, and what became of it.
+    """
+
+    transfer: Transfer
+
+    async def start(self, connection):
+        protocol = connection.protocol
+        await super().start(connection)
+        self.transfer = protocol.transfer
+        return self
+
+
+def _framing(message):
+    if message.chunked:
+        return 'chunks'
+    if 'Content-Length' in message.headers:
+        return 'length'
+    return 'connection'
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -9,6 +9,7 @@
 from balsamdale import discovery
 from balsamdale import events
 from balsamdale import exchange
+from balsamdale import http_connection
 from balsamdale import metrics
 from balsamdale import quarantine
 from balsamdale import quorum
@@ -195,6 +196,8 @@
         attempts: all attempts, including those that reached no server.
         server_id: server of the latest attempt.
         status: HTTP status of the server's response; 0 without one.
+        transfer: how the latest response was framed and ended; None without
+            one.
         last_received_s: time of the last data from the server.
         load: load of the latest server when it was chosen.
         report_age_s: age of that server's load report at the time.
@@ -222,6 +225,7 @@
     attempts: int = 0
     server_id: str = ''
     status: int = 0
+    transfer: http_connection.Transfer | None = None
     last_received_s: float = 0.0
     load: float = 0.0
     report_age_s: float = 0.0
@@ -258,6 +262,11 @@
             'events': self.reader.count,
             **self.stage_times_s,
         }
+        if self.transfer is not None:
+            fields['framing'] = self.transfer.framing
+            fields['connection'] = self.transfer.connection
+        if self.reader.incomplete_bytes:
+            fields['incomplete_bytes'] = self.reader.incomplete_bytes
         if self.workspace is not None:
             fields['workspace'] = self.workspace.name
         if self.waited_s:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,9 @@
 """Tests of the HTTP client on servers whose responses are faulty."""
 
 import asyncio
+import contextlib
+import socket
+import struct
 
 import pytest
 
@@ -15,7 +18,8 @@
 
     `{id}` is replaced by the request's id. None closes the connection without
     a response. A response in a tuple is sent before the body is read. One
-    that ends with `<close>` closes the connection.
+    that ends with `<close>` closes the connection; `<reset>`, which is not
+    sent, resets it.
     """
 
     def __init__(self, *responses):
@@ -56,12 +60,23 @@
             if scripted is None:
                 break
             text = scripted.replace('{id}', fields['X-Request-Id'])
-            writer.write(text.encode())
+            writer.write(text.removesuffix('<reset>').encode())
+            if text.endswith('<reset>'):
+                await reset_connection(writer)
             if text.endswith('<close>'):
                 break
         writer.close()
 
 
+async def reset_connection(writer):
+    """Reset a connection once the peer can have read what was written."""
+    await asyncio.sleep(0.05)
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
 def http_response(body, request_id='{id}', extra=''):
     return (
         'HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n'
@@ -228,3 +243,30 @@
             assert server.connections == 2
 
     run(scenario)
+
+
+HEAD = 'HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Id: {id}\r\n'
+CHUNKED_HEAD = HEAD + 'Transfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    'scripted,framing,connection',
+    [
+        (http_response('all'), 'length', 'open'),
+        (CHUNKED_HEAD + '3\r\nall\r\n0\r\n\r\n', 'chunks', 'open'),
+        (CHUNKED_HEAD + 'ff\r\nal<close>', 'chunks', 'closed'),
+        (CHUNKED_HEAD + 'ff\r\nal<reset>', 'chunks', 'lost'),
+        (HEAD + '\r\nall<close>', 'connection', 'closed'),
+        (HEAD + '\r\nall<reset>', 'connection', 'lost'),
+    ],
+)
+def test_framing_and_end_of_a_response_are_recorded(
+    scripted, framing, connection
+):
+    async def scenario(sender):
+        async with StubServer(scripted) as server:
+            with contextlib.suppress(errors.BackendFailed):
+                await send_request(sender, server.address)
+            assert sender.response_counts == {(framing, connection): 1}
+
+    run(scenario)
