Do not take the loss of a connection for the end of an answer

Cause: a body without length or chunks ends with its connection. aiohttp's client ends such a body in connection_lost however the connection ended: by a reset, an unacknowledged timeout or our own close as by the server's. The entry then sent its own length or last chunk after the part that it had.

Change: only a server that closes its connection in order ends such a body. A connection that is lost, or closed by this instance, fails the body before aiohttp can end it, so the reader gets an error as for a missing chunk. This uses what the connection knows, not the content, so it holds for every body.

--- a/balsamdale/http_connection.py
+++ b/balsamdale/http_connection.py
@@ -1,4 +1,9 @@
-"""HTTP connections to servers, which record how each response ended."""
+"""HTTP connections to servers, which record how each response ended.
+
+A body that has neither a length nor chunks ends with its connection. aiohttp
+ends it however the connection ends; here only a server that closes it in
+order does.
+"""
 
 import dataclasses
 
@@ -35,7 +40,7 @@
 
 
 class Connection(client_proto.ResponseHandler):
-    """A connection that records how its latest response ended.
+    """A connection whose loss is not the end of a response.
 
     Attributes:
         transfer: the latest response; None before the first.
@@ -56,15 +61,37 @@
 
     def connection_lost(self, exc):
         if exc is not None:
-            self._state = 'lost'
+            self._end('lost', exc)
         elif self._is_closed_by_server:
-            self._state = 'closed'
+            self._end('closed')
         else:
-            self._state = 'abandoned'
-        if self.transfer is not None:
-            self.transfer.connection = self._state
+            self._end('abandoned')
         super().connection_lost(exc)
 
+    def close(self):
+        self._end('abandoned')
+        super().close()
+
+    def abort(self):
+        self._end('abandoned')
+        super().abort()
+
+    def _end(self, state, cause=None):
+        """Record the first end; only the server's close ends a body."""
+        if self._state != 'open':
+            return
+        self._state = state
+        if self.transfer is not None:
+            self.transfer.connection = state
+        payload = self._payload
+        if state == 'closed' or payload is None or payload.is_eof():
+            return
+        error = aiohttp.ClientPayloadError(
+            f'the connection was {state} in the middle of a body'
+        )
+        error.__cause__ = cause
+        payload.set_exception(error)
+
 
 class ClientResponse(aiohttp.ClientResponse):
     """A response with the record of its transfer.
