Do not count an event that was cut between its lines as whole

Cause: a stream without length or chunks ends with its connection, so only its text tells whether it was cut. The event reader took an event for open if it had a part of a line or a data line. One that was cut after the line of its id, or of any other field before its data, counted as no event: the turn was stored and the caller's stream got its last chunk.

Change: an event is open from its first line to its empty line, whatever its lines are. Comments between events open none, and are no longer held back on streams that may be resumed.

--- a/balsamdale/events.py
+++ b/balsamdale/events.py
@@ -4,6 +4,7 @@
 
 DATA_FIELD = b'data:'
 ID_FIELD = b'id:'
+COMMENT = b':'
 
 
 class EventReader:
@@ -13,7 +14,8 @@
         count: number of complete events.
         output: the data of each event, each with a line feed.
         last_id: id of the last complete event; empty before the first id.
-        is_complete: whether the bytes so far end with a complete event.
+        is_complete: whether no event is open: the bytes so far end with the
+            empty line of an event, or with comments after it.
     """
 
     def __init__(self):
@@ -22,25 +24,27 @@
         self.last_id = ''
         self._id = ''
         self._held = bytearray()
-        self._line_bytes = 0
+        self._open_lines_bytes = 0
         self._partial_line = b''
         self._data_lines: list[bytes] = []
 
     @property
     def is_complete(self) -> bool:
-        return not self._partial_line and not self._data_lines
+        return not self.incomplete_bytes
 
     @property
     def incomplete_bytes(self) -> int:
-        """Bytes after the last complete event."""
-        return self._line_bytes + len(self._partial_line)
+        """Bytes of the event that is open."""
+        return self._open_lines_bytes + len(self._partial_line)
 
     def feed(self, chunk: bytes) -> None:
         """Parse the next chunk of the stream."""
         lines = (self._partial_line + chunk).split(b'\n')
         self._partial_line = lines.pop()
         for line in lines:
-            self._line_bytes += len(line) + 1
+            if line.startswith(COMMENT) and not self._open_lines_bytes:
+                continue
+            self._open_lines_bytes += len(line) + 1
             self._read_line(line.removesuffix(b'\r'))
 
     def feed_whole_events(self, chunk: bytes) -> bytes:
@@ -59,22 +63,27 @@
     def discard_incomplete_event(self) -> None:
         """Forget an event that was cut, before its stream is resumed."""
         self._held.clear()
-        self._line_bytes = 0
+        self._open_lines_bytes = 0
         self._partial_line = b''
         self._data_lines.clear()
         self._id = self.last_id
 
     def _read_line(self, line):
-        if line.startswith(DATA_FIELD):
+        if not line:
+            self._end_event()
+        elif line.startswith(DATA_FIELD):
             self._data_lines.append(_field_value(line, DATA_FIELD))
         elif line.startswith(ID_FIELD):
             self._id = _field_value(line, ID_FIELD).decode(errors='replace')
-        elif not line and self._data_lines:
-            self.count += 1
-            self.last_id = self._id
-            self.output += b'\n'.join(self._data_lines) + b'\n'
-            self._data_lines.clear()
-            self._line_bytes = 0
+
+    def _end_event(self):
+        self._open_lines_bytes = 0
+        if not self._data_lines:
+            return
+        self.count += 1
+        self.last_id = self._id
+        self.output += b'\n'.join(self._data_lines) + b'\n'
+        self._data_lines.clear()
 
 
 def _field_value(line, field):
