Resume a model's stream that was cut in a line; fail one with a bad line

What callers would see: a program that waits for its model, as nothing ends its turn.

Cause: bytes of an engine were parsed without a check of their form. A cut inside a line made the JSON parser raise, and so did a line that is no chunk; neither error is one that the owner of a program handles.

Chunks are decoded into typed structures; one that does not fit fails the request with what is wrong. A chunk is counted once it was decoded.

--- a/balsamdale/backend.py
+++ b/balsamdale/backend.py
@@ -7,9 +7,9 @@
 import abc
 from collections import abc as collections_abc
 import dataclasses
-import json
 
 import aiohttp
+import msgspec
 
 from balsamdale import declaration
 from balsamdale import errors
@@ -29,6 +29,9 @@
 STREAM_READ_TIMEOUT_S = 2.0
 MAX_RESUMES_WITHOUT_PROGRESS = 60
 CONTROL_TIMEOUT_S = 1.5
+DATA_FIELD = b'data:'
+# Data of the event that ends a stream.
+DONE = b'[DONE]'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -258,6 +261,41 @@
                 yield delta
 
 
+class _Function(msgspec.Struct):
+    name: str | None = None
+    arguments: str | None = None
+
+
+class _CallPart(msgspec.Struct):
+    index: int
+    id: str | None = None
+    function: _Function = msgspec.field(default_factory=_Function)
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+    tool_calls: list[_CallPart] | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+
+
+class _PromptDetails(msgspec.Struct):
+    cached_tokens: int | None = None
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int
+    completion_tokens: int
+    prompt_tokens_details: _PromptDetails | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice] = []
+    usage: _Usage | None = None
+
+
 class _CompletionStream:
     """Parses the server-sent events of a chat completion."""
 
@@ -265,19 +303,19 @@
         self._server = server
         self._text = ''
         self._tool_calls: dict[int, records.ToolCall] = {}
-        self._usage = None
+        self._usage: _Usage | None = None
         self.chunk_count = 0
 
     async def read(self, content):
-        async for raw_line in content:
-            line = raw_line.decode().strip()
-            if not line.startswith('data:'):
+        async for line in self._read_lines(content):
+            if not line.startswith(DATA_FIELD):
                 continue
-            data = line.removeprefix('data:').strip()
-            if data == '[DONE]':
+            data = line.removeprefix(DATA_FIELD).strip()
+            if data == DONE:
                 return
+            chunk = self._decode_chunk(data)
             self.chunk_count += 1
-            text = self._add_chunk(json.loads(data))
+            text = self._add_chunk(chunk)
             if text:
                 yield TextDelta(text)
         raise aiohttp.ClientPayloadError('the stream ended before [DONE]')
@@ -285,38 +323,55 @@
     def completion(self):
         if self._usage is None:
             raise errors.BackendFailed(self._server, 'unknown', 'no usage')
-        details = self._usage.get('prompt_tokens_details') or {}
+        details = self._usage.prompt_tokens_details or _PromptDetails()
         return Completion(
             text=self._text,
             tool_calls=tuple(
                 self._tool_calls[key] for key in sorted(self._tool_calls)
             ),
-            prompt_tokens=self._usage['prompt_tokens'],
-            answer_tokens=self._usage['completion_tokens'],
-            cached_tokens=details.get('cached_tokens', 0),
+            prompt_tokens=self._usage.prompt_tokens,
+            answer_tokens=self._usage.completion_tokens,
+            cached_tokens=details.cached_tokens or 0,
         )
 
+    async def _read_lines(self, content):
+        """Yield whole lines; the last one may have been cut.
+
+        Raises:
+            ClientPayloadError: the stream ends inside a line.
+        """
+        async for line in content:
+            if not line.endswith(b'\n'):
+                raise aiohttp.ClientPayloadError(
+                    'the stream ended inside a line'
+                )
+            yield line
+
+    def _decode_chunk(self, data):
+        try:
+            return msgspec.json.decode(data, type=_Chunk)
+        except msgspec.MsgspecError as error:
+            raise errors.BackendFailed(
+                self._server, 'unknown', f'malformed chunk: {error}'
+            ) from error
+
     def _add_chunk(self, chunk):
-        if chunk.get('usage'):
-            self._usage = chunk['usage']
+        if chunk.usage is not None:
+            self._usage = chunk.usage
         text = ''
-        for choice in chunk.get('choices', ()):
-            delta = choice.get('delta', {})
-            text += delta.get('content') or ''
-            for part in delta.get('tool_calls') or ():
+        for choice in chunk.choices:
+            text += choice.delta.content or ''
+            for part in choice.delta.tool_calls or ():
                 self._add_call_part(part)
         self._text += text
         return text
 
     def _add_call_part(self, part):
-        call = self._tool_calls.get(
-            part['index'], records.ToolCall('', '', '')
-        )
-        function = part.get('function', {})
-        self._tool_calls[part['index']] = records.ToolCall(
-            call.call_id + (part.get('id') or ''),
-            call.name + (function.get('name') or ''),
-            call.arguments + (function.get('arguments') or ''),
+        call = self._tool_calls.get(part.index, records.ToolCall('', '', ''))
+        self._tool_calls[part.index] = records.ToolCall(
+            call.call_id + (part.id or ''),
+            call.name + (part.function.name or ''),
+            call.arguments + (part.function.arguments or ''),
         )
 
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -10,6 +10,18 @@
 from balsamdale import program
 from tests.raw_server import RawServer
 
+ENGINE_CALL = program.CallEngine(
+    service='engines',
+    messages=(),
+    tools=(),
+    can_spawn_agents=False,
+    prompt_tokens=1,
+    answer_tokens=9,
+)
+USAGE = (
+    'data: {"choices": [], "usage": {"prompt_tokens": 1,'
+    ' "completion_tokens": 2}}\n\n'
+)
 UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n'
 TOOL = program.CallTool(
     call_id='c',
@@ -61,3 +73,45 @@
             assert await invoke(backends, stub) == 'all of it'
 
     run(scenario)
+
+
+async def complete(backends, raw_server):
+    """Return the deltas and the completion of a model call."""
+    return [
+        stream_event
+        async for stream_event in backends.complete(
+            server_at(raw_server), 'm', ENGINE_CALL, 'q1', 'p'
+        )
+    ]
+
+
+def chunk(text):
+    return f'data: {{"choices": [{{"delta": {{"content": "{text}"}}}}]}}\n\n'
+
+
+@pytest.mark.parametrize('cut', ['data', 'data: {"choi', 'data: [DO'])
+def test_stream_that_ends_in_a_line_is_resumed_after_the_chunk_before(cut):
+    async def scenario(backends):
+        first = UNFRAMED_HEAD + chunk('one ') + cut + '<end>'
+        rest = UNFRAMED_HEAD + chunk('two') + USAGE + 'data: [DONE]\n\n'
+        async with RawServer(first, rest + '<end>') as stub:
+            *deltas, completion = await complete(backends, stub)
+            assert [delta.text for delta in deltas] == ['one ', 'two']
+            assert completion.text == 'one two'
+            assert 'after=1 ' in stub.requests[1][0]
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    'line', ['data: nonsense\n\n', 'data: 7\n\n', 'data: {"choices": 1}\n\n']
+)
+def test_stream_with_a_malformed_line_fails(line):
+    async def scenario(backends):
+        text = UNFRAMED_HEAD + chunk('one') + line + '<end>'
+        async with RawServer(text) as stub:
+            with pytest.raises(errors.BackendFailed) as raised:
+                await complete(backends, stub)
+            assert raised.value.ran == 'unknown'
+
+    run(scenario)
