Report a write as possibly applied if its reply was cut

What was wrong: a call to the platform's key-value service whose reply was reset or cut, and had neither length nor chunks, was an error of the service's protocol instead of a lost reply; a write that may have been applied was not reported as such. A 412 whose reply was reset counted as a conflict although its body never arrived whole.

Change: the client uses the sessions of http_connection; a reply that cannot be decoded is a failed call, for a write one that may have been applied.

Tests: five new cases in tests/platform/test_store.py failed before (KeyValueError without maybe_applied; one was taken as a conflict).

--- a/balsamdale/platform/store.py
+++ b/balsamdale/platform/store.py
@@ -8,6 +8,7 @@
 
 from balsamdale import decisions
 from balsamdale import errors
+from balsamdale import http_connection
 from balsamdale import keyvalue
 from balsamdale import sockets
 
@@ -151,7 +152,7 @@
             return 0
         if status == 404:
             raise errors.LeaseEnded(f'lease {lease} has ended')
-        return self._decode(content, _Done).rev
+        return self._decode(content, _Done, is_write=True).rev
 
     async def _request(
         self,
@@ -194,18 +195,18 @@
             )
         return response.status, content
 
-    def _decode(self, body, message_type):
+    def _decode(self, body, message_type, is_write=False):
         try:
             return msgspec.json.decode(body, type=message_type)
         except msgspec.MsgspecError as error:
-            raise errors.KeyValueError(
-                f'response is malformed: {error}'
+            raise errors.KeyValueUnavailable(
+                f'response is malformed: {error}', is_write
             ) from error
 
     def _get_session(self):
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+            self._session = http_connection.create_session(
+                aiohttp.TCPConnector(
                     limit=0,
                     socket_factory=sockets.create_client_socket,
                     use_dns_cache=False,
@@ -214,9 +215,6 @@
                 trust_env=False,
                 read_bufsize=2**20,
             )
-            # A call whose response is lost must fail, since a write may have
-            # been applied; aiohttp must not repeat it.
-            self._session._retry_connection = False
         return self._session
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,9 @@
 from balsamdale import errors
 from balsamdale.platform import store
 from standins import platform_store
+from tests.raw_server import RawServer
+
+UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
 
 
 def run_on(scenario):
@@ -137,3 +140,50 @@
         assert (await client.get('servers/i')).value == b''
 
     run_on(scenario)
+
+
+def run_on_raw_server(scenario, *responses):
+    """Run a scenario on the client and a server of scripted responses."""
+
+    async def run():
+        async with RawServer(*responses) as raw_server:
+            client = store.PlatformKeyValue(raw_server.address)
+            try:
+                await asyncio.wait_for(scenario(client), 10.0)
+            finally:
+                await client.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('ending', ['<reset>', '<end>'])
+def test_write_whose_reply_was_cut_may_be_applied(ending):
+    async def scenario(client):
+        with pytest.raises(errors.KeyValueUnavailable) as raised:
+            await client.put('a', b'1')
+        assert raised.value.maybe_applied
+
+    run_on_raw_server(scenario, UNFRAMED_HEAD + '{"rev": 1' + ending)
+
+
+@pytest.mark.parametrize('ending', ['<reset>', '<end>'])
+def test_read_whose_reply_was_cut_is_a_failed_call(ending):
+    async def scenario(client):
+        with pytest.raises(errors.KeyValueUnavailable) as raised:
+            await client.scan('')
+        assert not raised.value.maybe_applied
+
+    text = UNFRAMED_HEAD + '{"items": [], "store_revision": 1' + ending
+    run_on_raw_server(scenario, text)
+
+
+def test_conflict_whose_reply_was_cut_may_be_a_write():
+    """A status alone, without its whole reply, proves no conflict."""
+
+    async def scenario(client):
+        with pytest.raises(errors.KeyValueUnavailable) as raised:
+            await client.compare_and_swap('a', b'1', 3)
+        assert raised.value.maybe_applied
+
+    head = UNFRAMED_HEAD.replace('200 OK', '412 Precondition Failed')
+    run_on_raw_server(scenario, head + '{"items": [{"key"<reset>')
