Keep the configuration watch when a line of the service is cut or malformed

What was wrong: a line of a watch that was cut or is no JSON ended the task that follows the declaration, for good; later declarations were not applied by that instance. A write whose reply was cut raised a JSON error, and the operator was not told that it may be in force.

Cause: the etcd client parsed bytes of another process without a check of their form, and took the loss of a connection for the end of a reply.

Change: sessions of http_connection; replies and watch lines are decoded into typed structures, and one that is cut or does not fit is a failed call, of a write one that may have been applied. The watch is repeated after it.

--- a/balsamdale/keyvalue.py
+++ b/balsamdale/keyvalue.py
@@ -10,11 +10,12 @@
 from collections import abc as collections_abc
 import contextlib
 import dataclasses
-import json
 
 import aiohttp
+import msgspec
 
 from balsamdale import errors
+from balsamdale import http_connection
 
 __all__ = [
     'Change',
@@ -26,6 +27,14 @@
 ]
 
 CALL_TIMEOUT_S = 3.0
+# What a call raises if its reply is missing, cut or malformed; aiohttp raises
+# ValueError for a line that is too long.
+CALL_ERRORS = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    ValueError,
+    msgspec.MsgspecError,
+)
 # Longest wait of one request for changes.
 WATCH_POLL_TIMEOUT_S = 10.0
 
@@ -308,6 +317,40 @@
             raise errors.KeyValueUnavailable('simulated outage', False)
 
 
+class _Header(msgspec.Struct):
+    revision: int = 0
+
+
+class _KeyVersion(msgspec.Struct):
+    key: bytes
+    mod_revision: int
+    value: bytes = b''
+
+
+class _RangeReply(msgspec.Struct):
+    header: _Header
+    kvs: list[_KeyVersion] = []
+
+
+class _TransactionReply(msgspec.Struct):
+    header: _Header
+    succeeded: bool = False
+
+
+class _WatchEvent(msgspec.Struct):
+    kv: _KeyVersion
+    type: str = 'PUT'
+
+
+class _WatchResult(msgspec.Struct):
+    events: list[_WatchEvent] = []
+    canceled: bool = False
+
+
+class _WatchLine(msgspec.Struct):
+    result: _WatchResult
+
+
 class EtcdKeyValue(KeyValue):
     """A client of the etcd v3 JSON gateway.
 
@@ -320,10 +363,10 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def get(self, key: str) -> Pair | None:
-        response = await self._post_to_any(
-            '/v3/kv/range', {'key': _encode_text(key)}, False
+        reply = await self._post_to_any(
+            '/v3/kv/range', {'key': _encode_text(key)}, _RangeReply
         )
-        pairs = tuple(_pairs(response.get('kvs', ())))
+        pairs = tuple(map(_pair, reply.kvs))
         return pairs[0] if pairs else None
 
     async def scan(self, prefix: str) -> tuple[tuple[Pair, ...], int]:
@@ -331,9 +374,8 @@
             'key': _encode_text(prefix),
             'range_end': _encode_text(_range_end(prefix)),
         }
-        response = await self._post_to_any('/v3/kv/range', body, False)
-        revision = int(response.get('header', {}).get('revision', 0))
-        return tuple(_pairs(response.get('kvs', ()))), revision
+        reply = await self._post_to_any('/v3/kv/range', body, _RangeReply)
+        return tuple(map(_pair, reply.kvs)), reply.header.revision
 
     async def compare_and_swap(
         self, key: str, value: bytes, revision: int
@@ -346,10 +388,10 @@
         }
         put = {'key': _encode_text(key), 'value': _encode_bytes(value)}
         body = {'compare': [compare], 'success': [{'request_put': put}]}
-        response = await self._post_to_any('/v3/kv/txn', body, True)
-        if not response.get('succeeded'):
-            return 0
-        return int(response['header']['revision'])
+        reply = await self._post_to_any(
+            '/v3/kv/txn', body, _TransactionReply, is_write=True
+        )
+        return reply.header.revision if reply.succeeded else 0
 
     async def watch(
         self, prefix: str, revision: int
@@ -367,9 +409,9 @@
                 url, json={'create_request': request}, timeout=timeout
             ) as response:
                 async for line in response.content:
-                    for pair in _puts_of_events(json.loads(line)):
+                    for pair in _pairs_of_puts(line):
                         yield pair
-        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+        except CALL_ERRORS as error:
             raise errors.KeyValueUnavailable(str(error), False) from error
 
     async def close(self) -> None:
@@ -378,32 +420,36 @@
 
     def _http_session(self):
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = http_connection.create_session(
+                aiohttp.TCPConnector()
+            )
         return self._session
 
-    async def _post_to_any(self, path, body, is_write):
+    async def _post_to_any(self, path, body, reply_type, is_write=False):
         detail = 'no address'
         maybe_applied = False
         for address in self._addresses:
             try:
-                return await self._post(f'http://{address}{path}', body)
+                return await self._post(
+                    f'http://{address}{path}', body, reply_type
+                )
             except aiohttp.ClientConnectorError as error:
                 detail = str(error)
-            except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            except CALL_ERRORS as error:
                 detail = str(error) or type(error).__name__
                 maybe_applied = is_write
             if maybe_applied:
                 break
         raise errors.KeyValueUnavailable(detail, maybe_applied)
 
-    async def _post(self, url, body):
+    async def _post(self, url, body, reply_type):
         self.calls += 1
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with self._http_session().post(
             url, json=body, timeout=timeout
         ) as response:
             response.raise_for_status()
-            return await response.json()
+            return _decode(await response.read(), reply_type)
 
 
 def _encode_text(text):
@@ -420,24 +466,22 @@
     return prefix[:-1] + chr(ord(last) + 1)
 
 
-def _pairs(items):
-    for item in items:
-        yield Pair(
-            base64.b64decode(item['key']).decode(),
-            base64.b64decode(item.get('value', '')),
-            int(item['mod_revision']),
-        )
+def _decode(text, message_type):
+    # The gateway writes integers of 64 bits as strings.
+    return msgspec.json.decode(text, type=message_type, strict=False)
+
+
+def _pair(version):
+    return Pair(version.key.decode(), version.value, version.mod_revision)
 
 
-def _puts_of_events(line):
-    result = line.get('result', {})
-    if result.get('canceled'):
+def _pairs_of_puts(line):
+    """Yield the pairs that a line of a watch reports as written."""
+    result = _decode(line, _WatchLine).result
+    if result.canceled:
         raise errors.KeyValueUnavailable(
             'the service cancelled the watch', False
         )
-    puts = (
-        event['kv']
-        for event in result.get('events', ())
-        if event.get('type', 'PUT') == 'PUT'
-    )
-    yield from _pairs(puts)
+    for event in result.events:
+        if event.type == 'PUT':
+            yield _pair(event.kv)
--- a/tests/test_keyvalue.py
+++ b/tests/test_keyvalue.py
@@ -8,6 +8,9 @@
 from balsamdale import errors
 from balsamdale import keyvalue
 from standins import keyvalue as keyvalue_standin
+from tests.raw_server import RawServer
+
+UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
 
 
 def run_on(implementation, scenario):
@@ -117,3 +120,50 @@
         assert delays_s == [0.0, 0.1, 0.2]
 
     asyncio.run(run())
+
+
+def run_on_raw_server(scenario, *responses):
+    """Run a scenario on the etcd client and scripted responses."""
+
+    async def run():
+        async with RawServer(*responses) as raw_server:
+            store = keyvalue.EtcdKeyValue((raw_server.address,))
+            try:
+                await asyncio.wait_for(scenario(store), 10.0)
+            finally:
+                await store.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        '{"header": {"revision": "7"<reset>',
+        '{"header": {"revision": "7"<end>',
+        '{"succeeded": true}<end>',
+        '[]<end>',
+    ],
+)
+def test_write_whose_reply_is_cut_or_malformed_may_be_applied(reply):
+    async def scenario(store):
+        with pytest.raises(errors.KeyValueUnavailable) as raised:
+            await store.compare_and_swap('a', b'1', 0)
+        assert raised.value.maybe_applied
+
+    run_on_raw_server(scenario, UNFRAMED_HEAD + reply)
+
+
+@pytest.mark.parametrize(
+    'line',
+    ['{"result": {"eve<end>', 'nonsense\n<end>', '{"result": 1}\n<end>'],
+)
+def test_watch_with_a_cut_or_malformed_line_is_a_failed_call(line):
+    """Its instance watches again; any other error would end its task."""
+
+    async def scenario(store):
+        with pytest.raises(errors.KeyValueUnavailable):
+            async for _ in store.watch('a', 1):
+                pass
+
+    run_on_raw_server(scenario, UNFRAMED_HEAD + line)
