Tell operators clearly when a reply of an entry was cut or is malformed

What operators saw: a traceback of the JSON parser or a KeyError, and for a reply without length that was reset, its first part as the whole.

Cause: replies of entries were parsed without a check of their form, on connections that take a reset for the end of a body.

Change: the operator commands use the sessions of http_connection; a reply that is cut, no JSON object, without the fields that a command needs, or a refusal of another form is refused with the entry's address and what is wrong. Whether the call took effect is reported as unknown.

Tests: the five cases of test_reply_that_is_cut_or_malformed_is_a_clear_error failed before; tests/test_porcelain.py: 7 passed.

--- a/balsamdale/porcelain.py
+++ b/balsamdale/porcelain.py
@@ -10,10 +10,12 @@
 import pathlib
 
 import aiohttp
+import msgspec
 
 from balsamdale import burn_rate
 from balsamdale import declaration
 from balsamdale import errors
+from balsamdale import http_connection
 
 __all__ = [
     'abandon',
@@ -49,7 +51,9 @@
         Refused: the request was refused, or the entry is unreachable.
     """
     declaration.load(path)
-    in_force = _call_api('GET', entry, 'declaration')
+    in_force = _call_api(
+        'GET', entry, 'declaration', fields=('text', 'revision')
+    )
     lines = difflib.unified_diff(
         in_force['text'].splitlines(),
         pathlib.Path(path).read_text().splitlines(),
@@ -117,7 +121,8 @@
 
 def programs(entry: str) -> list[dict]:
     """Return a summary of each live program."""
-    return _call_api('GET', entry, 'programs')['programs']
+    reply = _call_api('GET', entry, 'programs', fields=('programs',))
+    return reply['programs']
 
 
 def explain(entry: str, program_id: str) -> dict:
@@ -198,35 +203,65 @@
 
 def burn(entry: str) -> tuple[burn_rate.Rate, ...]:
     """Return the burn rates by contract and window."""
-    rates = _call_api('GET', entry, 'burn')['rates']
+    rates = _call_api('GET', entry, 'burn', fields=('rates',))['rates']
     return tuple(burn_rate.Rate(**rate) for rate in rates)
 
 
-def _call_api(method, entry, path, body=None):
-    return asyncio.run(_request_json(method, entry, path, body))
+class _Problem(msgspec.Struct):
+    """Body of a refusal."""
+
+    code: str
+    status: int
+    detail: str
+    ran: str
+    retry_after_s: float | None = None
+
+
+def _call_api(method, entry, path, body=None, fields=()):
+    """Call an entry's operator API; return the object that it replies.
 
+    Args:
+        fields: names that the object must have.
+    """
+    return asyncio.run(_request_json(method, entry, path, body, fields))
 
-async def _request_json(method, entry, path, body):
+
+async def _request_json(method, entry, path, body, fields):
     url = f'http://{entry}/v1/operator/{path}'
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
-        try:
-            async with session.request(method, url, json=body) as response:
-                content = await response.json(content_type=None)
-                if response.status >= 400:
-                    raise _build_refused(content)
-                return content
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise errors.Refused(
-                'entry_unreachable', 503, f'{entry}: {error}', 'unknown'
-            ) from error
-
-
-def _build_refused(problem):
+    session = http_connection.create_session(
+        aiohttp.TCPConnector(), timeout=timeout
+    )
+    try:
+        async with session, session.request(method, url, json=body) as reply:
+            content = await reply.read()
+            if reply.status >= 400:
+                raise _decode_refused(content)
+            return _decode_object(content, fields)
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise errors.Refused(
+            'entry_unreachable', 503, f'{entry}: {error}', 'unknown'
+        ) from error
+    except msgspec.MsgspecError as error:
+        raise errors.Refused(
+            'malformed_reply', 502, f'{entry}: {error}', 'unknown'
+        ) from error
+
+
+def _decode_object(content, fields):
+    decoded = msgspec.json.decode(content, type=dict)
+    for name in fields:
+        if name not in decoded:
+            raise msgspec.ValidationError(f'the reply has no field {name!r}')
+    return decoded
+
+
+def _decode_refused(content):
+    problem = msgspec.json.decode(content, type=_Problem)
     return errors.Refused(
-        problem['code'],
-        problem['status'],
-        problem['detail'],
-        problem['ran'],
-        problem['retry_after_s'],
+        problem.code,
+        problem.status,
+        problem.detail,
+        problem.ran,
+        problem.retry_after_s,
     )
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -12,6 +12,7 @@
 from balsamdale import errors
 from balsamdale import porcelain
 from harness import fleet
+from tests.raw_server import RawServer
 
 TUTORIAL = pathlib.Path(__file__).parent.parent / 'docs' / 'tutorial.md'
 
@@ -110,3 +111,24 @@
             await running_fleet.close()
 
     asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        '200 OK\r\n\r\n{"programs": []}<reset>',
+        '200 OK\r\n\r\n{"programs": [<end>',
+        '200 OK\r\n\r\n[]<end>',
+        '503 No\r\n\r\n{"code": "not_ready"}<end>',
+        '503 No\r\n\r\n<html><end>',
+    ],
+)
+def test_reply_that_is_cut_or_malformed_is_a_clear_error(reply):
+    async def scenario():
+        async with RawServer(f'HTTP/1.1 {reply}') as raw_server:
+            with pytest.raises(errors.Refused) as caught:
+                await asyncio.to_thread(porcelain.programs, raw_server.address)
+            assert caught.value.ran == 'unknown'
+            assert raw_server.address in str(caught.value)
+
+    asyncio.run(scenario())
