Limit the bodies that are held as a whole

What callers would see: an entry that is killed at its memory limit, with all of its requests, or refuses them, as one server sends a body without end.

Cause: bodies were read for as long as they arrived: plain answers up to the whole memory budget of the entry (none by default), the bodies of refusals that are only dropped, results of tools, a model's stream, and replies of the key-value services and of entries to operators. Some only ended by a timeout; a line without end raised an error that no caller of the parser expects.

Change: a body that is held as a whole has at most 16 MiB, also the stream of a model; longer ones fail the attempt, which may have run. Lines come from http_connection.read_lines, which yields whole lines only. What is dropped is read up to 64 KiB, to keep the connection, and cannot fail a request whose head says that it did not run. A tool's result that is not text in its encoding fails the call instead of the program's task.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -332,7 +332,7 @@
         state.transfer = response.transfer
         self._record_metadata(server, response.metadata)
         if response.metadata.was_not_run:
-            await response.body()
+            await response.skip()
             # 421: not the chosen server, but another one at its address.
             if response.status != 421:
                 state.delivered_attempts += 1
--- a/balsamdale/backend.py
+++ b/balsamdale/backend.py
@@ -5,7 +5,9 @@
 """
 
 import abc
+import codecs
 from collections import abc as collections_abc
+import contextlib
 import dataclasses
 
 import aiohttp
@@ -29,6 +31,8 @@
 STREAM_READ_TIMEOUT_S = 2.0
 MAX_RESUMES_WITHOUT_PROGRESS = 60
 CONTROL_TIMEOUT_S = 1.5
+# What a call raises if its result is missing, cut or not text.
+RESULT_ERRORS = (aiohttp.ClientError, TimeoutError, UnicodeDecodeError)
 DATA_FIELD = b'data:'
 # Data of the event that ends a stream.
 DONE = b'[DONE]'
@@ -136,7 +140,7 @@
                 url, json=body, headers=headers, timeout=timeout
             ) as response:
                 _check_status(server.name, response.status)
-                async for delta in stream.read(response.content):
+                async for delta in stream.read(response):
                     yield delta
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             raise errors.BackendFailed(server.name, 'no', 'no connection')
@@ -163,10 +167,11 @@
             ) as response:
                 if response.status >= 500:
                     _check_status(server.name, response.status)
-                return await response.text()
+                result = await http_connection.read_body(response)
+                return result.decode(_encoding(response))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             raise errors.BackendFailed(server.name, 'no', 'no connection')
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except RESULT_ERRORS as error:
             detail = str(error) or type(error).__name__
             raise errors.BackendFailed(server.name, 'unknown', detail)
 
@@ -257,7 +262,7 @@
             if response.status == 404:
                 raise _crash_error(server.name)
             _check_status(server.name, response.status)
-            async for delta in stream.read(response.content):
+            async for delta in stream.read(response):
                 yield delta
 
 
@@ -304,10 +309,18 @@
         self._text = ''
         self._tool_calls: dict[int, records.ToolCall] = {}
         self._usage: _Usage | None = None
+        self._received_bytes = 0
         self.chunk_count = 0
 
-    async def read(self, content):
-        async for line in self._read_lines(content):
+    async def read(self, response):
+        async for line in http_connection.read_lines(response):
+            self._received_bytes += len(line)
+            if self._received_bytes > http_connection.MAX_BODY_BYTES:
+                raise errors.BackendFailed(
+                    self._server,
+                    'unknown',
+                    f'the stream has more than {self._received_bytes} bytes',
+                )
             if not line.startswith(DATA_FIELD):
                 continue
             data = line.removeprefix(DATA_FIELD).strip()
@@ -334,19 +347,6 @@
             cached_tokens=details.cached_tokens or 0,
         )
 
-    async def _read_lines(self, content):
-        """Yield whole lines; the last one may have been cut.
-
-        Raises:
-            ClientPayloadError: the stream ends inside a line.
-        """
-        async for line in content:
-            if not line.endswith(b'\n'):
-                raise aiohttp.ClientPayloadError(
-                    'the stream ended inside a line'
-                )
-            yield line
-
     def _decode_chunk(self, data):
         try:
             return msgspec.json.decode(data, type=_Chunk)
@@ -410,6 +410,13 @@
     return {'type': 'function', 'function': function}
 
 
+def _encoding(response):
+    """Return the encoding of a body; UTF-8 without a known one."""
+    with contextlib.suppress(LookupError):
+        return codecs.lookup(response.charset or '').name
+    return 'utf-8'
+
+
 def _check_status(server, status):
     """Raise unless the status is a success; 429 and 503 mean not run."""
     if status in (429, 503):
--- a/balsamdale/exchange.py
+++ b/balsamdale/exchange.py
@@ -32,6 +32,8 @@
 # at most the latter, so that a paused stream buffers up to 64 KB.
 READ_BUFFER_BYTES = 16384
 MAX_RECEIVE_BYTES = 32768
+# Longest body that is received only to reuse its connection.
+MAX_SKIPPED_BYTES = 65536
 # Headers that aiohttp would add to those of the caller.
 LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
@@ -83,9 +85,17 @@
     transfer: http_connection.Transfer
     _response: aiohttp.ClientResponse
 
-    async def body(self) -> bytes:
-        """Read the whole body."""
-        return await self._response.read()
+    async def skip(self) -> None:
+        """Drop the body.
+
+        Its connection is reused if the body is short and arrives whole.
+        """
+        skipped_bytes = 0
+        with contextlib.suppress(aiohttp.ClientError):
+            async for chunk in self.chunks():
+                skipped_bytes += len(chunk)
+                if skipped_bytes > MAX_SKIPPED_BYTES:
+                    return
 
     def chunks(self) -> collections_abc.AsyncIterator[bytes]:
         """Yield the body as it arrives."""
--- a/balsamdale/http_connection.py
+++ b/balsamdale/http_connection.py
@@ -7,11 +7,13 @@
 """
 
 import asyncio
+from collections import abc as collections_abc
 import dataclasses
 import functools
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http_exceptions
 
 __all__ = [
     'CONNECTION_STATES',
@@ -20,6 +22,8 @@
     'Connection',
     'Transfer',
     'create_session',
+    'read_body',
+    'read_lines',
 ]
 
 # What tells the end of a body: its length, its last chunk, or only the end of
@@ -32,6 +36,8 @@
 # of its body: heads of interim responses, late responses to other requests,
 # sizes and extensions of chunks.
 MAX_UNUSED_BYTES = 1_048_576
+# Longest body that is held in memory as a whole.
+MAX_BODY_BYTES = 16_777_216
 
 
 @dataclasses.dataclass
@@ -178,6 +184,40 @@
     return session
 
 
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return a whole body of at most `MAX_BODY_BYTES`.
+
+    Raises:
+        ClientPayloadError: the body was cut or is longer.
+    """
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise aiohttp.ClientPayloadError(
+                f'the body has more than {MAX_BODY_BYTES} bytes'
+            )
+    return bytes(body)
+
+
+async def read_lines(
+    response: aiohttp.ClientResponse,
+) -> collections_abc.AsyncIterator[bytes]:
+    """Yield the lines of a body, each with its line feed.
+
+    Raises:
+        ClientPayloadError: the body was cut, ends inside a line, or has a
+            line that is too long.
+    """
+    try:
+        async for line in response.content:
+            if not line.endswith(b'\n'):
+                raise aiohttp.ClientPayloadError('the body ends inside a line')
+            yield line
+    except http_exceptions.LineTooLong as error:
+        raise aiohttp.ClientPayloadError('a line is too long') from error
+
+
 def _framing(message):
     if message.chunked:
         return 'chunks'
--- a/balsamdale/keyvalue.py
+++ b/balsamdale/keyvalue.py
@@ -27,12 +27,10 @@
 ]
 
 CALL_TIMEOUT_S = 3.0
-# What a call raises if its reply is missing, cut or malformed; aiohttp raises
-# ValueError for a line that is too long.
+# What a call raises if its reply is missing, cut or malformed.
 CALL_ERRORS = (
     aiohttp.ClientError,
     asyncio.TimeoutError,
-    ValueError,
     msgspec.MsgspecError,
 )
 # Longest wait of one request for changes.
@@ -408,7 +406,7 @@
             async with self._http_session().post(
                 url, json={'create_request': request}, timeout=timeout
             ) as response:
-                async for line in response.content:
+                async for line in http_connection.read_lines(response):
                     for pair in _pairs_of_puts(line):
                         yield pair
         except CALL_ERRORS as error:
@@ -449,7 +447,9 @@
             url, json=body, timeout=timeout
         ) as response:
             response.raise_for_status()
-            return _decode(await response.read(), reply_type)
+            return _decode(
+                await http_connection.read_body(response), reply_type
+            )
 
 
 def _encode_text(text):
--- a/balsamdale/platform/store.py
+++ b/balsamdale/platform/store.py
@@ -179,7 +179,7 @@
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                content = await response.read()
+                content = await http_connection.read_body(response)
         except aiohttp.ClientConnectorError as error:
             raise errors.KeyValueUnavailable(str(error), False) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/balsamdale/porcelain.py
+++ b/balsamdale/porcelain.py
@@ -234,7 +234,7 @@
     )
     try:
         async with session, session.request(method, url, json=body) as reply:
-            content = await reply.read()
+            content = await http_connection.read_body(reply)
             if reply.status >= 400:
                 raise _decode_refused(content)
             return _decode_object(content, fields)
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -16,6 +16,7 @@
 from balsamdale import decisions
 from balsamdale import errors
 from balsamdale import history
+from balsamdale import http_connection
 from balsamdale import quorum
 from balsamdale import request_state
 from balsamdale import turn_cache
@@ -302,9 +303,18 @@
 
         Raises:
             Refused: there is no memory for it.
+            BackendFailed: it is longer than responses can be.
         """
         parts = []
+        received_bytes = 0
         async for chunk in response.chunks():
+            received_bytes += len(chunk)
+            if received_bytes > http_connection.MAX_BODY_BYTES:
+                raise errors.BackendFailed(
+                    state.server_id,
+                    'unknown',
+                    f'the body has more than {received_bytes} bytes',
+                )
             if not state.responder.hold(len(chunk)):
                 raise errors.Refused(
                     'no_memory', 502, 'no memory for the response', 'yes'
--- a/standins/routed.py
+++ b/standins/routed.py
@@ -29,6 +29,8 @@
     is set.
     `is_unframed` sends responses that have neither a length nor chunks;
     `resets` resets connections instead of closing them.
+    `endless` is repeated after the first event, or in place of a plain body,
+    until the connection is closed.
     `slowdown` is the fourth value of the load header, which has three
     without it; `is_leaving` adds the header of a leaving server.
     `fail` is how many of the next requests get a response of status 500.
@@ -44,6 +46,7 @@
     cut_event: bool = False
     cut_text: bytes = b'id: 99\ndata: cut he'
     is_unframed: bool = False
+    endless: bytes = b''
     resets: bool = False
     slowdown: int = 0
     is_leaving: bool = False
@@ -140,6 +143,8 @@
             data = f'id: {event_number}\ndata: e{event_number}-{len(body)}\n\n'
             await response.write(data.encode())
             await asyncio.sleep(self.switches.event_gap_s)
+            if self.switches.endless:
+                return await self._send_endless(response)
             if self._breaks_after(event_number):
                 if self.switches.cut_event:
                     await response.write(self.switches.cut_text)
@@ -151,7 +156,17 @@
         await response.write_eof()
         return response
 
+    async def _send_endless(self, response):
+        part = self.switches.endless * 256
+        while True:
+            await response.write(part)
+            await asyncio.sleep(0)
+
     async def _send_plain(self, request, headers, body):
+        if self.switches.endless:
+            response = web.StreamResponse(headers=headers)
+            await response.prepare(request)
+            return await self._send_endless(response)
         if not self.switches.is_unframed:
             return web.Response(body=body, headers=headers)
         response = _UnframedResponse(headers)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 from balsamdale import errors
 from balsamdale.platform import store
 from standins import platform_store
+from tests.raw_server import Endless
 from tests.raw_server import RawServer
 
 UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
@@ -187,3 +188,11 @@
 
     head = UNFRAMED_HEAD.replace('200 OK', '412 Precondition Failed')
     run_on_raw_server(scenario, head + '{"items": [{"key"<reset>')
+
+
+def test_reply_without_end_is_a_failed_call():
+    async def scenario(client):
+        with pytest.raises(errors.KeyValueUnavailable, match='more than'):
+            await client.scan('')
+
+    run_on_raw_server(scenario, Endless(UNFRAMED_HEAD, ' '))
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -8,6 +8,7 @@
 from balsamdale import declaration
 from balsamdale import errors
 from balsamdale import program
+from tests.raw_server import Endless
 from tests.raw_server import RawServer
 
 ENGINE_CALL = program.CallEngine(
@@ -115,3 +116,40 @@
             assert raised.value.ran == 'unknown'
 
     run(scenario)
+
+
+def test_result_of_a_tool_without_end_fails():
+    async def scenario(backends):
+        async with RawServer(Endless(UNFRAMED_HEAD, 'x')) as stub:
+            with pytest.raises(
+                errors.BackendFailed, match='more than'
+            ) as raised:
+                await invoke(backends, stub)
+            assert raised.value.ran == 'unknown'
+            await stub.disconnected.wait()
+
+    run(scenario)
+
+
+def test_result_of_a_tool_that_is_no_text_fails():
+    async def scenario(backends):
+        head = UNFRAMED_HEAD.replace('plain', 'plain; charset=ascii')
+        text = head + 'Wallonië<end>'
+        async with RawServer(text) as stub:
+            with pytest.raises(errors.BackendFailed):
+                await invoke(backends, stub)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('repeated', [chunk('z'), 'data: ' + 9000 * 'x'])
+def test_stream_of_a_model_without_end_fails(repeated):
+    async def scenario(backends):
+        endless = Endless(UNFRAMED_HEAD, repeated)
+        async with RawServer(*[endless] * 100) as stub:
+            with pytest.raises(errors.BackendFailed) as raised:
+                await complete(backends, stub)
+            assert raised.value.ran == 'unknown'
+            await stub.disconnected.wait()
+
+    run(scenario)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -41,7 +41,11 @@
         headers=(('Host', 'h'), ('X-Request-Id', request_id)),
     )
     async with sender.send(call, body, address, 'i-1', 1.0) as response:
-        return response.status, await response.body(), response.metadata
+        return response.status, await read(response), response.metadata
+
+
+async def read(response):
+    return b''.join([chunk async for chunk in response.chunks()])
 
 
 def test_request_arrives_unchanged():
@@ -54,7 +58,7 @@
             async with sender.send(
                 call, b'in', server.address, 'i-1', 0.5
             ) as response:
-                assert await response.body() == b'ok'
+                assert await read(response) == b'ok'
             head, body = server.requests[0]
             assert head.startswith('POST /a/%7Ex?y=a%2Fb&z HTTP/1.1\r\n')
             assert 'Host: h\r\n' in head
@@ -266,3 +270,23 @@
             await server.disconnected.wait()
 
     run(scenario)
+
+
+@pytest.mark.parametrize('body', [Endless, 'part<reset>', 'whole<end>'])
+def test_body_that_is_not_used_cannot_fail_its_request(body):
+    async def scenario(sender):
+        head = HEAD + '\r\n'
+        scripted = Endless(head, 'x') if body is Endless else head + body
+        async with RawServer(scripted) as server:
+            async with sender.send(
+                builders.call(headers=(('X-Request-Id', 'q'),)),
+                b'',
+                server.address,
+                'i-1',
+                1.0,
+            ) as response:
+                await response.skip()
+            if body is Endless:
+                await server.disconnected.wait()
+
+    run(scenario)
--- a/tests/test_keyvalue.py
+++ b/tests/test_keyvalue.py
@@ -8,6 +8,7 @@
 from balsamdale import errors
 from balsamdale import keyvalue
 from standins import keyvalue as keyvalue_standin
+from tests.raw_server import Endless
 from tests.raw_server import RawServer
 
 UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
@@ -167,3 +168,20 @@
                 pass
 
     run_on_raw_server(scenario, UNFRAMED_HEAD + line)
+
+
+def test_reply_without_end_is_a_failed_call():
+    async def scenario(store):
+        with pytest.raises(errors.KeyValueUnavailable, match='more than'):
+            await store.get('a')
+
+    run_on_raw_server(scenario, Endless(UNFRAMED_HEAD, ' '))
+
+
+def test_line_of_a_watch_without_end_is_a_failed_call():
+    async def scenario(store):
+        with pytest.raises(errors.KeyValueUnavailable, match='too long'):
+            async for _ in store.watch('a', 1):
+                pass
+
+    run_on_raw_server(scenario, Endless(UNFRAMED_HEAD, ' '))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -407,6 +407,18 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_plain_answer_without_end_is_given_up(tmp_path):
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.endless = b'x' * 256
+        assert (await deployment.post('/alerts/x'))[0] == 502
+        await deployment.wait_until(
+            lambda: not any(s.running for s in deployment.servers.values())
+        )
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_resumable_stream_goes_on_at_another_server(tmp_path):
     """A server stops in the middle of an event; each event arrives once."""
 
