Break off streams that have more than their server may send

What callers would see: bytes that are no event until the deadline, or more tokens than their program's budget has.

Cause: a stream was passed on for as long as it lasted. An event without end was copied anew with every part of it, comments went on for ever, and events beyond the most tokens of a turn were handed to the caller although nothing is reserved for them.

It is not resumed elsewhere, as parsed events may not have been passed on; the server's outcome counts as failed.

--- a/balsamdale/outcomes.py
+++ b/balsamdale/outcomes.py
@@ -64,6 +64,10 @@
         is_silent = failure.crashed and failure.ran == 'unknown'
         kind = 'silent' if is_silent else 'failed'
         raise
+    except errors.Refused as refused:
+        if refused.ran == 'unknown':
+            kind = 'failed'
+        raise
     except asyncio.CancelledError:
         if _is_timed_out(context, state, attempt):
             kind = 'silent'
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import zlib
 
 from balsamdale import api_keys
@@ -29,6 +30,8 @@
 NOT_READY_RETRY_AFTER_S = 0.05
 RESERVE_TIMEOUT_S = 1.0
 STORE_TIMEOUT_S = 3.0
+# Longest event of a stream: far more than a step of a model yields.
+MAX_EVENT_BYTES = 262144
 
 
 class RequestHandler:
@@ -311,9 +314,7 @@
             received_bytes += len(chunk)
             if received_bytes > http_connection.MAX_BODY_BYTES:
                 raise errors.BackendFailed(
-                    state.server_id,
-                    'unknown',
-                    f'the body has more than {received_bytes} bytes',
+                    state.server_id, 'unknown', 'the body is too long'
                 )
             if not state.responder.hold(len(chunk)):
                 raise errors.Refused(
@@ -338,12 +339,15 @@
             await self._deliver_plain(state, response)
             return
         headers = self._context.wire_format.response_headers(response.headers)
+        received_bytes = 0
         async for chunk in response.chunks():
             state.last_received_s = self._context.clock()
+            received_bytes += len(chunk)
             if state.route.can_resume:
                 chunk = state.reader.feed_whole_events(chunk)
             else:
                 state.reader.feed(chunk)
+            _check_size(state, received_bytes)
             if not chunk:
                 continue
             state.responder.hold(len(chunk))
@@ -405,6 +409,31 @@
         decisions.record('request', **fields)
 
 
+def _check_size(state, received_bytes):
+    """Break off a stream that has more than a server may send.
+
+    Tokens beyond the most that the caller asked for are not covered by the
+    reservation of its program's budget. Events may have been parsed and not
+    passed on, so the stream is not resumed at another server.
+
+    Raises:
+        Refused: the stream, an event or the answer is too long.
+    """
+    event_tokens = max(1, state.service.tokens_per_event)
+    most_events = math.ceil(state.call.answer_tokens / event_tokens)
+    if received_bytes > http_connection.MAX_BODY_BYTES:
+        part = 'stream'
+    elif state.reader.incomplete_bytes > MAX_EVENT_BYTES:
+        part = 'event'
+    elif most_events and state.reader.count > most_events:
+        part = 'answer'
+    else:
+        return
+    raise errors.Refused(
+        'broken', 502, f'{state.server_id}: the {part} is too long', 'unknown'
+    )
+
+
 def _timed_out(state):
     if state.attempts:
         return errors.Refused(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -419,6 +419,51 @@
     routed_site.run(tmp_path, scenario)
 
 
+@pytest.mark.parametrize(
+    'endless', [b'x' * 64, b': comment\n', b'id: 9\ndata: z\n\n']
+)
+def test_stream_without_end_is_broken_off(tmp_path, endless):
+    """An event, comments, or more events than the turn may have."""
+
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.endless = endless
+            server.switches.event_gap_s = 0.05
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await deployment.post_turn('t1', budget=30)
+        outcomes = deployment.nodes['entry-a'].handler.outcome_counts
+        await deployment.wait_until(lambda: outcomes.get('broken') == 1)
+        await deployment.wait_until(
+            lambda: not any(s.running for s in deployment.servers.values())
+        )
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_events_beyond_the_most_of_a_turn_do_not_reach_its_caller(tmp_path):
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.event_gap_s = 0.05
+            server.switches.events = 9
+        received = bytearray()
+        address = deployment.nodes['entry-a'].settings.entry_address
+        headers = {
+            'Host': routed_site.HOST,
+            'X-Request-Id': 't1',
+            'X-Program-Id': 'p',
+            'X-Token-Usage': '100,30',
+        }
+        async with deployment.client.post(
+            f'http://{address}/turns/x', data=b'[t1]', headers=headers
+        ) as response:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                async for chunk in response.content.iter_any():
+                    received += chunk
+        assert received.count(b'\n\n') == 3
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_resumable_stream_goes_on_at_another_server(tmp_path):
     """A server stops in the middle of an event; each event arrives once."""
 
@@ -430,7 +475,7 @@
         for switches in (first, second):
             switches.break_after, switches.cut_event = 2, True
         status, body, headers = await deployment.post_turn(
-            'r1', path='/replays/x'
+            'r1', path='/replays/x', **{'X-Token-Usage': '100,50'}
         )
         assert status == 200
         ids = [line for line in body.decode().split('\n') if line[:3] == 'id:']
@@ -453,7 +498,9 @@
             server.switches.event_gap_s = 0.001
             server.switches.break_every = 3
         with pytest.raises(aiohttp.ClientPayloadError):
-            await deployment.post_turn('r2', path='/replays/x')
+            await deployment.post_turn(
+                'r2', path='/replays/x', **{'X-Token-Usage': '100,10000'}
+            )
         assert deployment.run_count('r2') == routed_site.TURNS['attempts']
 
     routed_site.run(tmp_path, scenario)
