Reset the connection of a response that is aborted without chunks

What callers would see: a caller of HTTP/1.0 takes the first part of a stream for the whole, as its connection is closed in order.

A response to HTTP/1.0 has no chunks and ends with its connection; abort() closed that like the end of a whole response does.

Change: such a connection is reset. Responses in chunks are closed as before, as they lack their last chunk.

Tests: test_aborted_response_does_not_look_whole_without_chunks failed before (a clean end). test_request_that_was_cut_is_not_served shows the reading side of the listener, which was right: requests cut in head, body or chunks, by a close or a reset, reach no handler.

--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -325,7 +325,12 @@
         if self.response is None:
             self.response = web.StreamResponse(status=500)
         transport = self._request.transport
-        if transport is not None:
+        if transport is None:
+            return
+        if self._request.version < aiohttp.HttpVersion11:
+            # Such a response ends with its connection.
+            sockets.reset(transport)
+        else:
             transport.abort()
 
     def _set_output_limit(self, limit_bytes):
--- a/balsamdale/sockets.py
+++ b/balsamdale/sockets.py
@@ -1,11 +1,18 @@
 """TCP sockets that detect an unreachable peer within seconds."""
 
+import asyncio
 from collections import abc as collections_abc
 import socket
+import struct
 
 from aiohttp import web
 
-__all__ = ['create_client_socket', 'create_listening_socket', 'serve_http']
+__all__ = [
+    'create_client_socket',
+    'create_listening_socket',
+    'reset',
+    'serve_http',
+]
 
 # Idle seconds before the first keepalive probe, seconds between probes, and
 # unanswered probes until the connection is broken.
@@ -61,5 +68,16 @@
     return runner
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Close a connection at once, so that the peer sees an error."""
+    sock = transport.get_extra_info('socket')
+    if sock is not None and not transport.is_closing():
+        # A linger time of 0 replaces the orderly close by a reset.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    transport.abort()
+
+
 def _set_unacked_timeout(sock, timeout_ms):
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
--- a/standins/routed.py
+++ b/standins/routed.py
@@ -7,11 +7,11 @@
 import asyncio
 import dataclasses
 import hashlib
-import socket
-import struct
 
 from aiohttp import web
 
+from balsamdale import sockets
+
 __all__ = ['RoutedServer']
 
 
@@ -182,10 +182,9 @@
 
     def _break_connection(self, request):
         if self.switches.resets:
-            request.transport.get_extra_info('socket').setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-            )
-        request.transport.abort()
+            sockets.reset(request.transport)
+        else:
+            request.transport.abort()
 
     def _breaks_after(self, event_number):
         every = self.switches.break_every
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
-import struct
+
+from balsamdale import sockets
 
 __all__ = ['Endless', 'RawServer', 'reset_connection']
 
@@ -102,7 +102,4 @@
 async def reset_connection(writer):
     """Reset a connection once the peer can have read what was written."""
     await asyncio.sleep(0.05)
-    writer.get_extra_info('socket').setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-    )
-    writer.transport.abort()
+    sockets.reset(writer.transport)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -12,6 +12,7 @@
 from balsamdale import routes
 from balsamdale.scheduling import memory
 from harness import ports
+from tests import raw_server
 
 LIMIT_BYTES = 4_000_000
 CHUNK = b'x' * 16_384
@@ -33,6 +34,9 @@
             await self.may_end.wait()
             return await responder.respond(200, [], str(size).encode())
         await responder.begin(200, [])
+        if call.path == '/abort':
+            await responder.write(CHUNK)
+            return responder.abort()
         for _ in range(self.chunk_count):
             await responder.write(CHUNK)
             self.sent_bytes += len(CHUNK)
@@ -76,6 +80,13 @@
         )
         return reader, writer
 
+    async def connect(self, sent):
+        """Open a connection and send bytes."""
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(sent)
+        return reader, writer
+
     async def wait_until(self, condition):
         while not condition():
             await asyncio.sleep(0.01)
@@ -193,3 +204,49 @@
         await site.wait_until(lambda: not site.budget.held_bytes)
 
     run(scenario)
+
+
+HEAD = b'POST /echo HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n'
+CHUNKED_HEAD = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize(
+    'cut',
+    [
+        HEAD,
+        HEAD + b'Content-Length: 99\r\n\r\nab',
+        CHUNKED_HEAD + b'5\r\nab',
+        CHUNKED_HEAD + b'2\r\nab\r\n',
+        CHUNKED_HEAD + b'2\r\nab\r\n0\r\n',
+    ],
+)
+def test_request_that_was_cut_is_not_served(cut, is_reset):
+    async def scenario(site):
+        _, writer = await site.connect(cut)
+        await asyncio.sleep(0.05)
+        if is_reset:
+            await raw_server.reset_connection(writer)
+        else:
+            writer.close()
+        await asyncio.sleep(0.05)
+        site.handler.may_end.set()
+        _, writer = await site.connect(HEAD + b'Content-Length: 1\r\n\r\nx')
+        await site.wait_until(lambda: site.handler.received_bodies)
+        assert site.handler.received_bodies == [1]
+        writer.close()
+
+    run(scenario)
+
+
+def test_aborted_response_does_not_look_whole_without_chunks():
+    """A caller of HTTP/1.0 takes a closed connection for the end."""
+
+    async def scenario(site):
+        reader, _ = await site.connect(
+            b'POST /abort HTTP/1.0\r\nHost: h\r\nX-Request-Id: r\r\n\r\n'
+        )
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+
+    run(scenario)
