End connections of callers that send without end what is no request

What other callers would see: a slow entry, as one connection keeps it at a whole core: 283 MB of empty lines, 186 MB of extensions of a chunk or 98 MB of its size were taken in a second from one connection.

Cause: as for servers: aiohttp limits lines, fields and their number, and the listener limits bodies, but nothing limits bytes that belong to neither.

Change: the listener counts bytes in a row that bring no request and no part of a body, and ends the connection at 1 MiB. One that is being closed drops data, as before, until its last response has left.

Tests: 3 of the 4 cases of test_bytes_without_end_that_are_no_request_end_ the_connection failed before (still open after 20 s); listener: 21 passed.

--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -12,6 +12,7 @@
 from balsamdale import background
 from balsamdale import decisions
 from balsamdale import errors
+from balsamdale import http_connection
 from balsamdale import request_state
 from balsamdale import routes
 from balsamdale.scheduling import memory
@@ -44,10 +45,43 @@
     about to be refused.
     """
 
+    _unused_bytes = 0
+    _body = None
+
     def connection_made(self, transport):
         transport.max_size = READ_BUFFER_BYTES
         super().connection_made(transport)
 
+    def data_received(self, data):
+        """Parse data; end a connection that sends no request without end."""
+        if self._parse(data):
+            self._unused_bytes = 0
+            return
+        self._unused_bytes += len(data)
+        if self._unused_bytes > http_connection.MAX_UNUSED_BYTES:
+            decisions.record(
+                'caller_disconnected',
+                reason='no request',
+                unused_bytes=self._unused_bytes,
+            )
+            self.transport.abort()
+
+    def _parse(self, data):
+        """Return whether data brought a request or a part of a body.
+
+        A connection that is about to be closed drops data until its last
+        response has left.
+        """
+        requests = self._request_count
+        body_bytes = self._body.total_bytes if self._body is not None else 0
+        super().data_received(data)
+        if self._close or self._force_close:
+            return True
+        if self._request_count > requests:
+            _, self._body = self._messages[-1]
+            return True
+        return self._body is not None and self._body.total_bytes > body_bytes
+
 
 class _Server(web.Server):
     """A server whose connections are of class `_Connection`."""
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -250,3 +250,25 @@
             await reader.read()
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    'start,repeated',
+    [
+        (b'', b'\r\n'),
+        (HEAD, b'A: b\r\n'),
+        (CHUNKED_HEAD + b'1;', b'x'),
+        (CHUNKED_HEAD, b'0'),
+    ],
+)
+def test_bytes_without_end_that_are_no_request_end_the_connection(
+    start, repeated
+):
+    async def scenario(site):
+        _, writer = await site.connect(start)
+        with pytest.raises(ConnectionError):
+            while True:
+                writer.write(repeated * 4096)
+                await writer.drain()
+
+    run(scenario)
