Drop a malformed frame of a peer instead of ending the link to it

What was wrong: a reply shorter than its header ended the task that reads from a peer; every later request to that peer timed out until the connection was replaced. The text of a failure that is no UTF-8 raised an error that callers of a link do not expect.

Cause: bytes of another process were unpacked without a check of their form. Frames themselves arrive whole or not at all, so none is cut.

Test: test_malformed_frame_of_a_peer_does_not_end_the_link failed before (LinkTimeout); link, follower and relay: 33 passed.

--- a/balsamdale/zeromq.py
+++ b/balsamdale/zeromq.py
@@ -99,7 +99,9 @@
         finally:
             dealer.finish_call(call_id, False)
         if frame_kind == FAILED:
-            raise errors.RemoteError(message_name, payload.decode())
+            raise errors.RemoteError(
+                message_name, payload.decode(errors='replace')
+            )
         return codec.decode(payload)
 
     def set_peer_address(self, peer_id: str, address: str) -> None:
@@ -127,7 +129,9 @@
                     must_cancel = False
                     break
             if frame_kind == FAILED:
-                raise errors.RemoteError(message_name, payload.decode())
+                raise errors.RemoteError(
+                    message_name, payload.decode(errors='replace')
+                )
         finally:
             dealer.finish_call(call_id, must_cancel)
 
@@ -355,6 +359,9 @@
         while True:
             frame = await self._socket.recv()
             self._links.received_bytes += len(frame)
+            if len(frame) < FRAME_HEADER.size:
+                logging.warning('link: dropped a malformed frame')
+                continue
             self.frames_read += 1
             frame_kind, call_id = FRAME_HEADER.unpack_from(frame)
             replies = self._reply_queues.get(call_id)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -4,8 +4,11 @@
 import contextlib
 
 import pytest
+import zmq
+import zmq.asyncio
 import zmq.auth
 
+from balsamdale import codec
 from balsamdale import errors
 from balsamdale import link
 from balsamdale import messages
@@ -117,3 +120,34 @@
             reservations.close()
 
     asyncio.run(run())
+
+
+def test_malformed_frame_of_a_peer_does_not_end_the_link():
+    async def reply_twice(router):
+        """Reply with a frame that is too short, then with the right one."""
+        for _ in range(2):
+            identity, frame = await router.recv_multipart()
+            await router.send_multipart([identity, b'short'])
+            _, call_id = zeromq.FRAME_HEADER.unpack_from(frame)
+            header = zeromq.FRAME_HEADER.pack(zeromq.ANSWER, call_id)
+            reply = header + codec.encode(messages.Ok())
+            await router.send_multipart([identity, reply])
+
+    async def run():
+        with (
+            contextlib.closing(ports.PortReservations()) as reservations,
+            zmq.asyncio.Context() as context,
+            context.socket(zmq.ROUTER) as router,
+        ):
+            address = reservations.reserve()
+            router.bind(f'tcp://{address}')
+            replying = asyncio.create_task(reply_twice(router))
+            links = zeromq.ZeroMQLinks('a', reservations.reserve())
+            links.set_peer_address('b', address)
+            for turn in range(2):
+                message = messages.FetchTurn('p', turn)
+                assert await links.request('b', message) == messages.Ok()
+            await replying
+            await links.close()
+
+    asyncio.run(run())
