Move the delivery of responses to a module of its own

A stage is recorded by the request's state, with the present time as an argument. No statement changed otherwise. Tests of node, outcomes, quota_serving, workspaces, allocation and imports: 80 passed.

--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -248,6 +248,10 @@
             return self.call.affinity
         return self.call.object_key if self.route.is_sticky else ''
 
+    def record_stage(self, name: str, now_s: float) -> None:
+        """Record that a stage was reached, with the time since arrival."""
+        self.stage_times_s[name] = round(now_s - self.started_s, 4)
+
     def log_fields(self) -> dict[str, object]:
         """Return what the decision log tells of the request at its end."""
         fields = {
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -6,18 +6,16 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
-import math
 import zlib
 
 from balsamdale import api_keys
 from balsamdale import archive_messages
 from balsamdale import attempts
 from balsamdale import decisions
+from balsamdale import delivery
 from balsamdale import errors
 from balsamdale import history
-from balsamdale import http_connection
 from balsamdale import quorum
 from balsamdale import request_state
 from balsamdale import turn_cache
@@ -30,8 +28,6 @@
 NOT_READY_RETRY_AFTER_S = 0.05
 RESERVE_TIMEOUT_S = 1.0
 STORE_TIMEOUT_S = 3.0
-# Longest event of a stream: far more than a step of a model yields.
-MAX_EVENT_BYTES = 262144
 
 
 class RequestHandler:
@@ -49,6 +45,7 @@
     def __init__(self, context: request_state.Context):
         self._context = context
         self._cache = turn_cache.TurnCache()
+        self._delivery = delivery.Delivery(context)
         self.attempts = attempts.Attempts(context)
         self.in_flight = 0
         self.outcome_counts: dict[str, int] = {}
@@ -138,7 +135,7 @@
             remaining_s=state.deadline_s - self._context.clock(),
         )
         state.holds_unit = True
-        self._record_stage(state, 'quota_s')
+        state.record_stage('quota_s', self._context.clock())
 
     def _give_back_unit(self, state, ran):
         """Give back the unit of a request that reached no server.
@@ -160,7 +157,7 @@
             await self._run_turn(state)
         else:
             await self.attempts.run(
-                state, state.call.body, self._deliver_plain
+                state, state.call.body, self._delivery.deliver
             )
 
     async def _run_turn(self, state):
@@ -180,7 +177,7 @@
             reservation = await self._reserve(
                 state, expires_at_s, chain is None
             )
-            self._record_stage(state, 'opened_s')
+            state.record_stage('opened_s', self._context.clock())
             if chain is None:
                 chain = reservation.chain
                 self._cache.add(chain)
@@ -200,9 +197,9 @@
                     'no',
                     attempts.CALLER_RETRY_AFTER_S,
                 )
-            await self.attempts.run(state, body, self._deliver_stream)
+            await self.attempts.run(state, body, self._delivery.deliver_events)
             if state.status == 200:
-                self._record_stage(state, 'last_event_s')
+                state.record_stage('last_event_s', self._context.clock())
                 if state.route.stores_turns:
                     await self._store_turn(state)
                     # The stored turn implies its own settled charge.
@@ -291,88 +288,6 @@
         if choice is None:
             raise self.attempts.capacity_refusal(state)
 
-    async def _deliver_plain(self, state, response):
-        if state.route.is_stream and response.status == 200:
-            await self._deliver_stream(state, response)
-            await state.responder.end()
-            return
-        body = await self._read_whole(state, response)
-        headers = self._context.wire_format.response_headers(response.headers)
-        with self._waiting_for_caller(state):
-            await state.responder.respond(response.status, headers, body)
-
-    async def _read_whole(self, state, response):
-        """Read a response that is passed on in one piece.
-
-        Raises:
-            Refused: there is no memory for it.
-            BackendFailed: it is longer than responses can be.
-        """
-        parts = []
-        received_bytes = 0
-        async for chunk in response.chunks():
-            received_bytes += len(chunk)
-            if received_bytes > http_connection.MAX_BODY_BYTES:
-                raise errors.BackendFailed(
-                    state.server_id, 'unknown', 'the body is too long'
-                )
-            if not state.responder.hold(len(chunk)):
-                raise errors.Refused(
-                    'no_memory', 502, 'no memory for the response', 'yes'
-                )
-            parts.append(chunk)
-        return b''.join(parts)
-
-    async def _deliver_stream(self, state, response):
-        """Pass events on as they arrive, without ending the response.
-
-        A stream that may be resumed is passed on in whole events, so that
-        the caller never has the first part of one that a server repeats.
-        """
-        if response.status != 200:
-            if state.responder.has_begun:
-                raise errors.BackendFailed(
-                    state.server_id,
-                    'unknown',
-                    f'status {response.status} instead of further events',
-                )
-            await self._deliver_plain(state, response)
-            return
-        headers = self._context.wire_format.response_headers(response.headers)
-        received_bytes = 0
-        async for chunk in response.chunks():
-            state.last_received_s = self._context.clock()
-            received_bytes += len(chunk)
-            if state.route.can_resume:
-                chunk = state.reader.feed_whole_events(chunk)
-            else:
-                state.reader.feed(chunk)
-            _check_size(state, received_bytes)
-            if not chunk:
-                continue
-            state.responder.hold(len(chunk))
-            if not state.responder.has_begun:
-                self._record_stage(state, 'first_event_s')
-                with self._waiting_for_caller(state):
-                    await state.responder.begin(response.status, headers)
-            with self._waiting_for_caller(state):
-                await state.responder.write(chunk)
-        if not state.reader.is_complete or not state.reader.count:
-            raise errors.BackendFailed(
-                state.server_id,
-                'unknown',
-                'the stream ended before an event was complete',
-            )
-
-    @contextlib.contextmanager
-    def _waiting_for_caller(self, state):
-        """Measure time that a server must not be blamed for."""
-        started_s = self._context.clock()
-        try:
-            yield
-        finally:
-            state.caller_wait_s += self._context.clock() - started_s
-
     def _delivered_tokens(self, state):
         delivered_events = state.reader.count + (not state.reader.is_complete)
         return delivered_events * state.service.tokens_per_event
@@ -389,11 +304,6 @@
         except errors.CallerDisconnected:
             responder.abort()
 
-    def _record_stage(self, state, name):
-        """Record the time since arrival at which a stage was reached."""
-        elapsed_s = self._context.clock() - state.started_s
-        state.stage_times_s[name] = round(elapsed_s, 4)
-
     def _record_outcome(self, call, state, took_s, code, reason):
         self.outcome_counts[code] = self.outcome_counts.get(code, 0) + 1
         route = state.route.name if state is not None else ''
@@ -409,31 +319,6 @@
         decisions.record('request', **fields)
 
 
-def _check_size(state, received_bytes):
-    """Break off a stream that has more than a server may send.
-
-    Tokens beyond the most that the caller asked for are not covered by the
-    reservation of its program's budget. Events may have been parsed and not
-    passed on, so the stream is not resumed at another server.
-
-    Raises:
-        Refused: the stream, an event or the answer is too long.
-    """
-    event_tokens = max(1, state.service.tokens_per_event)
-    most_events = math.ceil(state.call.answer_tokens / event_tokens)
-    if received_bytes > http_connection.MAX_BODY_BYTES:
-        part = 'stream'
-    elif state.reader.incomplete_bytes > MAX_EVENT_BYTES:
-        part = 'event'
-    elif most_events and state.reader.count > most_events:
-        part = 'answer'
-    else:
-        return
-    raise errors.Refused(
-        'broken', 502, f'{state.server_id}: the {part} is too long', 'unknown'
-    )
-
-
 def _timed_out(state):
     if state.attempts:
         return errors.Refused(
