--- /dev/null
+++ b/balsamdale/caller_connection.py
@@ -0,0 +1,65 @@
+"""Connections of callers, limited in what they read."""
+
+from aiohttp import web
+
+from balsamdale import decisions
+from balsamdale import http_connection
+
+__all__ = ['READ_BUFFER_BYTES', 'Connection', 'Server']
+
+# Data that one call reads from a connection, and the unread part of a body at
+# which reading is paused; a connection buffers at most three times as much.
+READ_BUFFER_BYTES = 16384
+
+
+class Connection(web.RequestHandler):
+    """A connection that reads little at a time, and only requests.
+
+    asyncio reads up to 256 KB at once by default, also of a body that is
+    about to be refused. aiohttp reads for as long as a caller sends, also
+    what is part of no request.
+    """
+
+    _unused_bytes = 0
+    _body = None
+
+    def connection_made(self, transport):
+        transport.max_size = READ_BUFFER_BYTES
+        super().connection_made(transport)
+
+    def data_received(self, data):
+        """Parse data; end a connection that sends no request without end."""
+        if self._parse(data):
+            self._unused_bytes = 0
+            return
+        self._unused_bytes += len(data)
+        if self._unused_bytes > http_connection.MAX_UNUSED_BYTES:
+            decisions.record(
+                'caller_disconnected',
+                reason='no request',
+                unused_bytes=self._unused_bytes,
+            )
+            self.transport.abort()
+
+    def _parse(self, data):
+        """Return whether data brought a request or a part of a body.
+
+        A connection that is about to be closed drops data until its last
+        response has left.
+        """
+        requests = self._request_count
+        body_bytes = self._body.total_bytes if self._body is not None else 0
+        super().data_received(data)
+        if self._close or self._force_close:
+            return True
+        if self._request_count > requests:
+            _, self._body = self._messages[-1]
+            return True
+        return self._body is not None and self._body.total_bytes > body_bytes
+
+
+class Server(web.Server):
+    """A server whose connections are of class `Connection`."""
+
+    def __call__(self):
+        return Connection(self, loop=self._loop, **self._kwargs)
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -10,9 +10,9 @@
 from aiohttp import web
 
 from balsamdale import background
+from balsamdale import caller_connection
 from balsamdale import decisions
 from balsamdale import errors
-from balsamdale import http_connection
 from balsamdale import request_state
 from balsamdale import routes
 from balsamdale.scheduling import memory
@@ -28,9 +28,6 @@
 IDLE_CONNECTION_S = 75.0
 # Time for responses in progress to finish when the listener closes.
 SHUTDOWN_TIMEOUT_S = 0.3
-# Data that one call reads from a connection, and the unread part of a body at
-# which reading is paused; a connection buffers at most three times as much.
-READ_BUFFER_BYTES = 16384
 # Size of a refused body up to which its connection stays usable: the rest of
 # the body has to be received to reach the next request.
 MAX_SKIPPED_BODY_BYTES = 65536
@@ -38,58 +35,6 @@
 OUTPUT_CHECK_INTERVAL_S = 0.25
 
 
-class _Connection(web.RequestHandler):
-    """A connection that reads little at a time.
-
-    asyncio reads up to 256 KB at once by default, also of a body that is
-    about to be refused.
-    """
-
-    _unused_bytes = 0
-    _body = None
-
-    def connection_made(self, transport):
-        transport.max_size = READ_BUFFER_BYTES
-        super().connection_made(transport)
-
-    def data_received(self, data):
-        """Parse data; end a connection that sends no request without end."""
-        if self._parse(data):
-            self._unused_bytes = 0
-            return
-        self._unused_bytes += len(data)
-        if self._unused_bytes > http_connection.MAX_UNUSED_BYTES:
-            decisions.record(
-                'caller_disconnected',
-                reason='no request',
-                unused_bytes=self._unused_bytes,
-            )
-            self.transport.abort()
-
-    def _parse(self, data):
-        """Return whether data brought a request or a part of a body.
-
-        A connection that is about to be closed drops data until its last
-        response has left.
-        """
-        requests = self._request_count
-        body_bytes = self._body.total_bytes if self._body is not None else 0
-        super().data_received(data)
-        if self._close or self._force_close:
-            return True
-        if self._request_count > requests:
-            _, self._body = self._messages[-1]
-            return True
-        return self._body is not None and self._body.total_bytes > body_bytes
-
-
-class _Server(web.Server):
-    """A server whose connections are of class `_Connection`."""
-
-    def __call__(self):
-        return _Connection(self, loop=self._loop, **self._kwargs)
-
-
 class Listener:
     """Accepts callers' HTTP requests and passes them to the handler.
 
@@ -123,7 +68,7 @@
 
     async def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
-        server = _Server(
+        server = caller_connection.Server(
             self._handle,
             request_factory=self._request,
             handler_cancellation=True,
@@ -132,7 +77,7 @@
             max_line_size=self._limits.header_bytes,
             max_field_size=self._limits.header_bytes,
             auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
+            read_bufsize=caller_connection.READ_BUFFER_BYTES,
         )
         self._runner = web.ServerRunner(
             server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
