End a model's stream by its chunks before its bytes

Change: an answer has at most 4 chunks for each token that was asked for and 64 more; the limit in bytes stays for lines that are no chunks.

--- a/balsamdale/backend.py
+++ b/balsamdale/backend.py
@@ -33,6 +33,10 @@
 CONTROL_TIMEOUT_S = 1.5
 # What a call raises if its result is missing, cut or not text.
 RESULT_ERRORS = (aiohttp.ClientError, TimeoutError, UnicodeDecodeError)
+# Most chunks of an answer: an engine may send a token in parts, and chunks
+# that have none, such as a role or the usage.
+CHUNKS_PER_TOKEN = 4
+CHUNKS_WITHOUT_TOKENS = 64
 DATA_FIELD = b'data:'
 # Data of the event that ends a stream.
 DONE = b'[DONE]'
@@ -126,7 +130,7 @@
         request_id: str,
         session: str,
     ) -> collections_abc.AsyncIterator[object]:
-        stream = _CompletionStream(server.name)
+        stream = _CompletionStream(server.name, call.answer_tokens)
         body = chat_body(model, call, session)
         url = f'http://{server.address}/v1/chat/completions'
         headers = {'X-Request-Id': request_id}
@@ -302,10 +306,18 @@
 
 
 class _CompletionStream:
-    """Parses the server-sent events of a chat completion."""
+    """Parses the server-sent events of a chat completion.
 
-    def __init__(self, server):
+    Args:
+        server: name of the engine.
+        answer_tokens: most tokens that it was asked for.
+    """
+
+    def __init__(self, server, answer_tokens):
         self._server = server
+        self._most_chunks = (
+            CHUNKS_WITHOUT_TOKENS + CHUNKS_PER_TOKEN * answer_tokens
+        )
         self._text = ''
         self._tool_calls: dict[int, records.ToolCall] = {}
         self._usage: _Usage | None = None
@@ -315,12 +327,7 @@
     async def read(self, response):
         async for line in http_connection.read_lines(response):
             self._received_bytes += len(line)
-            if self._received_bytes > http_connection.MAX_BODY_BYTES:
-                raise errors.BackendFailed(
-                    self._server,
-                    'unknown',
-                    f'the stream has more than {self._received_bytes} bytes',
-                )
+            self._check_size()
             if not line.startswith(DATA_FIELD):
                 continue
             data = line.removeprefix(DATA_FIELD).strip()
@@ -347,6 +354,15 @@
             cached_tokens=details.cached_tokens or 0,
         )
 
+    def _check_size(self):
+        if (
+            self._received_bytes > http_connection.MAX_BODY_BYTES
+            or self.chunk_count > self._most_chunks
+        ):
+            raise errors.BackendFailed(
+                self._server, 'unknown', 'the stream is too long'
+            )
+
     def _decode_chunk(self, data):
         try:
             return msgspec.json.decode(data, type=_Chunk)
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -142,7 +142,9 @@
     run(scenario)
 
 
-@pytest.mark.parametrize('repeated', [chunk('z'), 'data: ' + 9000 * 'x'])
+@pytest.mark.parametrize(
+    'repeated', [chunk('z'), 'data: ' + 9000 * 'x', ':' + 9000 * 'y' + '\n']
+)
 def test_stream_of_a_model_without_end_fails(repeated):
     async def scenario(backends):
         endless = Endless(UNFRAMED_HEAD, repeated)
