Let only an empty line end an event of a stream

Cause: a comment between events opened none, so a stream without length that was cut after the comment at the head of an event counted as whole.

Change: any line opens an event and only an empty line ends it. A stream that really ends with a comment without one is broken off; comments that keep a connection alive are followed by an empty line.

--- a/balsamdale/events.py
+++ b/balsamdale/events.py
@@ -4,7 +4,6 @@
 
 DATA_FIELD = b'data:'
 ID_FIELD = b'id:'
-COMMENT = b':'
 
 
 class EventReader:
@@ -14,8 +13,8 @@
         count: number of complete events.
         output: the data of each event, each with a line feed.
         last_id: id of the last complete event; empty before the first id.
-        is_complete: whether no event is open: the bytes so far end with the
-            empty line of an event, or with comments after it.
+        is_complete: whether no event is open, so that the bytes so far end
+            with an empty line; any other line opens one, also a comment.
     """
 
     def __init__(self):
@@ -42,8 +41,6 @@
         lines = (self._partial_line + chunk).split(b'\n')
         self._partial_line = lines.pop()
         for line in lines:
-            if line.startswith(COMMENT) and not self._open_lines_bytes:
-                continue
             self._open_lines_bytes += len(line) + 1
             self._read_line(line.removesuffix(b'\r'))
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -28,17 +28,17 @@
 
 @pytest.mark.parametrize('size', range(1, len(STREAM)))
 def test_cut_event_is_not_complete(size):
-    """Only after the empty line of an event, or a comment, is none open."""
+    """Only after an empty line is no event open."""
     reader = events.EventReader()
     reader.feed(STREAM[:size])
-    boundaries = (b'\n\n', b'\r\n\r\n', b': hi\n')
+    boundaries = (b'\n\n', b'\r\n\r\n')
     assert reader.is_complete == STREAM[:size].endswith(boundaries)
 
 
 def test_comments_after_an_event_are_passed_on():
     reader = events.EventReader()
-    assert reader.feed_whole_events(b'data: a\n\n: hi\nid: 2\n') == (
-        b'data: a\n\n: hi\n'
+    assert reader.feed_whole_events(b'data: a\n\n: hi\n\nid: 2\n') == (
+        b'data: a\n\n: hi\n\n'
     )
     assert reader.incomplete_bytes == len(b'id: 2\n')
 
