--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -15,7 +15,9 @@
 from balsamdale import codec
 from balsamdale import configuration
 from balsamdale import errors
+from balsamdale import events
 from balsamdale import history
+from balsamdale import http_connection
 from balsamdale import instance
 from balsamdale import journal
 from balsamdale import membership
@@ -600,3 +602,17 @@
         return is_new
 
     archive.Archive._add_charge = add_first_charge
+
+
+@mutation
+def loss_ends_bodies():
+    """The loss of a connection is the end of a body without length."""
+    http_connection.Connection._end = lambda self, state, cause=None: None
+
+
+@mutation
+def fields_open_no_event():
+    """Only a data line opens an event."""
+    events.EventReader.is_complete = property(
+        lambda self: not self._partial_line and not self._data_lines
+    )
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -61,11 +61,14 @@
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
             except (asyncio.IncompleteReadError, ConnectionError):
                 break
-            fields = dict(
-                line.split(': ', 1) for line in head.split('\r\n')[1:-2]
-            )
+            fields = {
+                name.lower(): value
+                for name, _, value in (
+                    line.partition(': ') for line in head.split('\r\n')[1:-2]
+                )
+            }
             body = b''
-            length = int(fields.get('Content-Length', 0))
+            length = int(fields.get('content-length', 0))
             scripted = self.responses.pop(0)
             if not isinstance(scripted, tuple):
                 body = await reader.readexactly(length)
@@ -77,7 +80,7 @@
             if isinstance(scripted, Endless):
                 await self._send_endless(writer, scripted, fields)
                 break
-            text = scripted.replace('{id}', fields.get('X-Request-Id', ''))
+            text = scripted.replace('{id}', fields.get('x-request-id', ''))
             sent = text.removesuffix('<reset>').removesuffix('<end>')
             writer.write(sent.encode())
             if text.endswith('<reset>'):
@@ -88,7 +91,7 @@
 
     async def _send_endless(self, writer, scripted, fields):
         """Send until the peer closes the connection."""
-        start = scripted.start.replace('{id}', fields.get('X-Request-Id', ''))
+        start = scripted.start.replace('{id}', fields.get('x-request-id', ''))
         repeated = scripted.repeated.encode()
         writer.write(start.encode())
         part = repeated * (SEND_BYTES // len(repeated) + 1)
