--- a/tests/routed_site.py
+++ b/tests/routed_site.py
@@ -239,6 +239,24 @@
             path, f'[{turn_id}]'.encode(), **{**headers, **extra}
         )
 
+    @contextlib.asynccontextmanager
+    async def streamed_turn(self, turn_id):
+        """Send a turn; yield its response while it is being received."""
+        address = self.nodes['entry-a'].settings.entry_address
+        headers = {
+            'Host': HOST,
+            'X-Request-Id': turn_id,
+            'X-Program-Id': 'p',
+            'X-Token-Usage': '100,30',
+        }
+        async with self.client.post(
+            f'http://{address}/turns/x',
+            data=f'[{turn_id}]'.encode(),
+            headers=headers,
+        ) as response:
+            assert response.status == 200
+            yield response
+
     def run_count(self, request_id):
         """Return how often servers ran a request."""
         return sum(s.runs.count(request_id) for s in self.servers.values())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -288,61 +288,21 @@
     routed_site.run(tmp_path, scenario)
 
 
-def test_broken_stream_does_not_look_whole(tmp_path):
-    """The stream breaks once the caller has read a part of it.
-
-    One that breaks before an event was passed on is a 502.
-    """
-
-    async def scenario(deployment):
-        gate = asyncio.Event()
-        for server in deployment.servers.values():
-            server.switches.break_after = 2
-            server.switches.break_gate = gate
-        address = deployment.nodes['entry-a'].settings.entry_address
-        headers = {
-            'Host': routed_site.HOST,
-            'X-Request-Id': 't1',
-            'X-Program-Id': 'p',
-            'X-Token-Usage': '100,30',
-        }
-        async with deployment.client.post(
-            f'http://{address}/turns/x', data=b'[t1]', headers=headers
-        ) as response:
-            assert response.status == 200
-            assert await response.content.readline() == b'id: 1\n'
-            gate.set()
-            with pytest.raises(aiohttp.ClientError):
-                await response.read()
-        for server in deployment.servers.values():
-            server.switches.break_after = 0
-        assert (await deployment.post_turn('t2', 't1'))[0] == 404
-
-    routed_site.run(tmp_path, scenario)
-
-
-async def check_stream_is_broken(deployment, resets, cut_text=b''):
-    """Check that a stream without length or chunks is broken to the caller.
+async def check_stream_is_broken(
+    deployment, is_unframed=True, resets=False, cut_text=b''
+):
+    """Check that a broken stream does not look whole and is not stored.
 
-    Its server ends the connection after two events and a part of a third.
+    Its server ends the connection after two events and a part of a third,
+    once the caller has read a part: one that breaks before is a 502.
     """
     gate = asyncio.Event()
     for server in deployment.servers.values():
         switches = server.switches
-        switches.is_unframed, switches.resets = True, resets
+        switches.is_unframed, switches.resets = is_unframed, resets
         switches.break_after, switches.break_gate = 2, gate
         switches.cut_event, switches.cut_text = bool(cut_text), cut_text
-    address = deployment.nodes['entry-a'].settings.entry_address
-    headers = {
-        'Host': routed_site.HOST,
-        'X-Request-Id': 't1',
-        'X-Program-Id': 'p',
-        'X-Token-Usage': '100,30',
-    }
-    async with deployment.client.post(
-        f'http://{address}/turns/x', data=b'[t1]', headers=headers
-    ) as response:
-        assert response.status == 200
+    async with deployment.streamed_turn('t1') as response:
         assert await response.content.readline() == b'id: 1\n'
         gate.set()
         with pytest.raises(aiohttp.ClientError):
@@ -352,6 +312,13 @@
     assert (await deployment.post_turn('t2', 't1'))[0] == 404
 
 
+def test_broken_stream_does_not_look_whole(tmp_path):
+    async def scenario(deployment):
+        await check_stream_is_broken(deployment, is_unframed=False)
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_stream_that_is_reset_between_events_does_not_look_whole(tmp_path):
     async def scenario(deployment):
         await check_stream_is_broken(deployment, resets=True)
@@ -363,9 +330,7 @@
     tmp_path,
 ):
     async def scenario(deployment):
-        await check_stream_is_broken(
-            deployment, resets=False, cut_text=b'id: 3\n'
-        )
+        await check_stream_is_broken(deployment, cut_text=b'id: 3\n')
 
     routed_site.run(tmp_path, scenario)
 
@@ -374,9 +339,7 @@
     tmp_path,
 ):
     async def scenario(deployment):
-        await check_stream_is_broken(
-            deployment, resets=False, cut_text=b'id: 3\ndata: e'
-        )
+        await check_stream_is_broken(deployment, cut_text=b'id: 3\ndata: e')
 
     routed_site.run(tmp_path, scenario)
 
@@ -446,16 +409,7 @@
             server.switches.event_gap_s = 0.05
             server.switches.events = 9
         received = bytearray()
-        address = deployment.nodes['entry-a'].settings.entry_address
-        headers = {
-            'Host': routed_site.HOST,
-            'X-Request-Id': 't1',
-            'X-Program-Id': 'p',
-            'X-Token-Usage': '100,30',
-        }
-        async with deployment.client.post(
-            f'http://{address}/turns/x', data=b'[t1]', headers=headers
-        ) as response:
+        async with deployment.streamed_turn('t1') as response:
             with pytest.raises(aiohttp.ClientPayloadError):
                 async for chunk in response.content.iter_any():
                     received += chunk
