--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,7 +9,7 @@
 from balsamdale.platform import store
 from standins import platform_store
 from tests.raw_server import Endless
-from tests.raw_server import RawServer
+from tests.raw_server import run_client
 
 UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
 
@@ -143,20 +143,6 @@
     run_on(scenario)
 
 
-def run_on_raw_server(scenario, *responses):
-    """Run a scenario on the client and a server of scripted responses."""
-
-    async def run():
-        async with RawServer(*responses) as raw_server:
-            client = store.PlatformKeyValue(raw_server.address)
-            try:
-                await asyncio.wait_for(scenario(client), 10.0)
-            finally:
-                await client.close()
-
-    asyncio.run(run())
-
-
 @pytest.mark.parametrize('ending', ['<reset>', '<end>'])
 def test_write_whose_reply_was_cut_may_be_applied(ending):
     async def scenario(client):
@@ -164,7 +150,9 @@
             await client.put('a', b'1')
         assert raised.value.maybe_applied
 
-    run_on_raw_server(scenario, UNFRAMED_HEAD + '{"rev": 1' + ending)
+    run_client(
+        store.PlatformKeyValue, scenario, UNFRAMED_HEAD + '{"rev": 1' + ending
+    )
 
 
 @pytest.mark.parametrize('ending', ['<reset>', '<end>'])
@@ -175,7 +163,7 @@
         assert not raised.value.maybe_applied
 
     text = UNFRAMED_HEAD + '{"items": [], "store_revision": 1' + ending
-    run_on_raw_server(scenario, text)
+    run_client(store.PlatformKeyValue, scenario, text)
 
 
 def test_conflict_whose_reply_was_cut_may_be_a_write():
@@ -187,7 +175,9 @@
         assert raised.value.maybe_applied
 
     head = UNFRAMED_HEAD.replace('200 OK', '412 Precondition Failed')
-    run_on_raw_server(scenario, head + '{"items": [{"key"<reset>')
+    run_client(
+        store.PlatformKeyValue, scenario, head + '{"items": [{"key"<reset>'
+    )
 
 
 def test_reply_without_end_is_a_failed_call():
@@ -195,4 +185,4 @@
         with pytest.raises(errors.KeyValueUnavailable, match='more than'):
             await client.scan('')
 
-    run_on_raw_server(scenario, Endless(UNFRAMED_HEAD, ' '))
+    run_client(store.PlatformKeyValue, scenario, Endless(UNFRAMED_HEAD, ' '))
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -6,7 +6,7 @@
 
 from balsamdale import sockets
 
-__all__ = ['Endless', 'RawServer', 'reset_connection']
+__all__ = ['Endless', 'RawServer', 'reset_connection', 'run_client']
 
 # Bytes of one write of an endless response.
 SEND_BYTES = 16384
@@ -106,3 +106,23 @@
     """Reset a connection once the peer can have read what was written."""
     await asyncio.sleep(0.05)
     sockets.reset(writer.transport)
+
+
+def run_client(make_client, scenario, *responses):
+    """Run a scenario on a client of a server of scripted responses.
+
+    Args:
+        make_client: returns a client of the server at an address.
+        scenario: called with the client.
+        responses: what the server sends.
+    """
+
+    async def run():
+        async with RawServer(*responses) as server:
+            client = make_client(server.address)
+            try:
+                await asyncio.wait_for(scenario(client), 10.0)
+            finally:
+                await client.close()
+
+    asyncio.run(run())
--- a/tests/test_keyvalue.py
+++ b/tests/test_keyvalue.py
@@ -9,7 +9,7 @@
 from balsamdale import keyvalue
 from standins import keyvalue as keyvalue_standin
 from tests.raw_server import Endless
-from tests.raw_server import RawServer
+from tests.raw_server import run_client
 
 UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
 
@@ -123,18 +123,8 @@
     asyncio.run(run())
 
 
-def run_on_raw_server(scenario, *responses):
-    """Run a scenario on the etcd client and scripted responses."""
-
-    async def run():
-        async with RawServer(*responses) as raw_server:
-            store = keyvalue.EtcdKeyValue((raw_server.address,))
-            try:
-                await asyncio.wait_for(scenario(store), 10.0)
-            finally:
-                await store.close()
-
-    asyncio.run(run())
+def make_etcd_client(address):
+    return keyvalue.EtcdKeyValue((address,))
 
 
 @pytest.mark.parametrize(
@@ -152,7 +142,7 @@
             await store.compare_and_swap('a', b'1', 0)
         assert raised.value.maybe_applied
 
-    run_on_raw_server(scenario, UNFRAMED_HEAD + reply)
+    run_client(make_etcd_client, scenario, UNFRAMED_HEAD + reply)
 
 
 @pytest.mark.parametrize(
@@ -167,7 +157,7 @@
             async for _ in store.watch('a', 1):
                 pass
 
-    run_on_raw_server(scenario, UNFRAMED_HEAD + line)
+    run_client(make_etcd_client, scenario, UNFRAMED_HEAD + line)
 
 
 def test_reply_without_end_is_a_failed_call():
@@ -175,7 +165,7 @@
         with pytest.raises(errors.KeyValueUnavailable, match='more than'):
             await store.get('a')
 
-    run_on_raw_server(scenario, Endless(UNFRAMED_HEAD, ' '))
+    run_client(make_etcd_client, scenario, Endless(UNFRAMED_HEAD, ' '))
 
 
 def test_line_of_a_watch_without_end_is_a_failed_call():
@@ -184,4 +174,4 @@
             async for _ in store.watch('a', 1):
                 pass
 
-    run_on_raw_server(scenario, Endless(UNFRAMED_HEAD, ' '))
+    run_client(make_etcd_client, scenario, Endless(UNFRAMED_HEAD, ' '))
