Keep an answer whose end came before its request was sent

What callers would see: 502 for an answer that came whole, where the server answers early, without length or chunks, and closes its sending side; the rest of the request then meets a reset.

Any error of the connection failed a body without length, also one after the server had closed its side in order. All that the server sent has arrived by then, so its answer is whole.

Change: a close by the server counts, whatever fails later. Whether the body of a refusal that proves 'not run' came whole is in its log line (not_run, is_body_whole); a cut one was dropped without a word.

Tests: test_answer_that_ended_before_its_request_was_sent_is_whole failed before (BrokenPipeError, BackendFailed); exchange, node and cut responses: 80 passed.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -332,7 +332,7 @@
         state.transfer = response.transfer
         self._record_metadata(server, response.metadata)
         if response.metadata.was_not_run:
-            await response.skip()
+            is_body_whole = await response.skip()
             # 421: not the chosen server, but another one at its address.
             if response.status != 421:
                 state.delivered_attempts += 1
@@ -341,6 +341,7 @@
                 id=state.call.request_id,
                 server=server.server_id,
                 status=response.status,
+                is_body_whole=is_body_whole,
             )
             return False
         if not response.metadata.is_signed:
--- a/balsamdale/exchange.py
+++ b/balsamdale/exchange.py
@@ -85,17 +85,21 @@
     transfer: http_connection.Transfer
     _response: aiohttp.ClientResponse
 
-    async def skip(self) -> None:
-        """Drop the body.
+    async def skip(self) -> bool:
+        """Drop the body, and reuse the connection if it is short and whole.
 
-        Its connection is reused if the body is short and arrives whole.
+        Returns:
+            Whether it is.
         """
         skipped_bytes = 0
-        with contextlib.suppress(aiohttp.ClientError):
+        try:
             async for chunk in self.chunks():
                 skipped_bytes += len(chunk)
                 if skipped_bytes > MAX_SKIPPED_BYTES:
-                    return
+                    return False
+        except aiohttp.ClientError:
+            return False
+        return True
 
     def chunks(self) -> collections_abc.AsyncIterator[bytes]:
         """Yield the body as it arrives."""
--- a/balsamdale/http_connection.py
+++ b/balsamdale/http_connection.py
@@ -103,10 +103,11 @@
         super().eof_received()
 
     def connection_lost(self, exc):
-        if exc is not None:
-            self._end('lost', exc)
-        elif self._is_closed_by_server:
+        if self._is_closed_by_server:
+            # What fails later concerns only the rest of the request.
             self._end('closed')
+        elif exc is not None:
+            self._end('lost', exc)
         else:
             self._end('abandoned')
         super().connection_lost(exc)
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -25,9 +25,10 @@
 
     `{id}` is replaced by the request's id. None closes the connection without
     a response. A response in a tuple is sent before the body is read. One
-    that ends with `<close>` closes the connection; so does `<end>`, which is
-    not sent, and `<reset>`, which is not sent either, resets it. An
-    `Endless` response is sent until the peer closes the connection.
+    that ends with `<close>` closes the connection. So does `<end>`, and
+    `<reset>` resets it; `<half>` closes the sending side first. These three
+    are not sent. An `Endless` response is sent until the peer closes the
+    connection.
 
     Attributes:
         requests: head and body of each request.
@@ -82,7 +83,10 @@
                 break
             text = scripted.replace('{id}', fields.get('x-request-id', ''))
             sent = text.removesuffix('<reset>').removesuffix('<end>')
-            writer.write(sent.encode())
+            writer.write(sent.removesuffix('<half>').encode())
+            if text.endswith('<half>'):
+                writer.write_eof()
+                await reset_connection(writer)
             if text.endswith('<reset>'):
                 await reset_connection(writer)
             if text.endswith(('<close>', '<end>')):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -189,6 +189,20 @@
     run(scenario)
 
 
+def test_answer_that_ended_before_its_request_was_sent_is_whole():
+    """The rest of the request meets a reset once the answer has ended."""
+
+    async def scenario(sender):
+        text = 'HTTP/1.1 413 No\r\nX-Request-Id: {id}\r\n\r\nall<half>'
+        async with RawServer((text,)) as server:
+            status, body, _ = await send_request(
+                sender, server.address, body=b'x' * 2**24, method='POST'
+            )
+            assert (status, body) == (413, b'all')
+
+    run(scenario)
+
+
 def test_early_answer_to_a_long_body_closes_the_connection():
     async def scenario(sender):
         body = b'x' * 2**24
@@ -285,7 +299,8 @@
                 'i-1',
                 1.0,
             ) as response:
-                await response.skip()
+                is_whole = await response.skip()
+                assert is_whole == (body == 'whole<end>')
             if body is Endless:
                 await server.disconnected.wait()
 
