Log the limits that servers name

Change: `Server-Limit` is decoded in the adapter (a decimal number; malformed ones are counted), kept with the time of the answer, and dropped from what callers get. A signed answer without it withdraws the limit. Each change is a line `server_limit` (server, rate_per_s, before_per_s), the line of a request has `server_limit_per_s`, and there are gauges `balsamdale_servers_limited` and `balsamdale_server_limits_ignored`. No decision changes.

Result: tests of headers, of the table and of a deployment (tests/platform, tests/scheduling, tests/test_node.py pass).

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -35,6 +35,8 @@
 RECOVERY_CHECK_INTERVAL_S = 0.5
 # Retry-After of a refusal: about the time of one answer.
 CALLER_RETRY_AFTER_S = 0.3
+# Status of another server at the address of the chosen one.
+MISDIRECTED_STATUS = 421
 
 Deliver = collections_abc.Callable[
     [request_state.RequestState, exchange.Response],
@@ -134,6 +136,9 @@
                 state.load = choice.load
                 state.report_age_s = choice.report_age_s
                 state.chosen_by = choice.factor
+                state.server_limit_per_s = self._context.limits.rate_per_s(
+                    choice.server
+                )
                 if await self._attempt(
                     state, choice.server, body, timeout_s, deliver
                 ):
@@ -331,10 +336,11 @@
     async def _receive_response(self, state, server, response, deliver):
         state.transfer = response.transfer
         self._record_metadata(server, response.metadata)
+        if response.status != MISDIRECTED_STATUS:
+            self._context.limits.record_answer(server, response.metadata)
         if response.metadata.was_not_run:
             is_body_whole = await response.skip()
-            # 421: not the chosen server, but another one at its address.
-            if response.status != 421:
+            if response.status != MISDIRECTED_STATUS:
                 state.delivered_attempts += 1
             decisions.record(
                 'not_run',
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -12,6 +12,7 @@
 from balsamdale import errors
 from balsamdale import exchange
 from balsamdale import http_connection
+from balsamdale import limit_client
 from balsamdale import listener
 from balsamdale import members
 from balsamdale import metrics
@@ -106,6 +107,7 @@
             settings.failure_domain,
             clocks.monotonic,
         )
+        self.limit_client = limit_client.LimitClient(clocks.monotonic)
         started_ms = int(clocks.wall() * 1000)
         self.slot_service = allocation_service.SlotService(
             self.links,
@@ -150,6 +152,7 @@
                     LATENCY_BOUNDS_S,
                 ),
                 quota=self.quota_client,
+                limits=self.limit_client,
                 slots=self.slot_client,
             )
         )
@@ -196,6 +199,7 @@
             **super().gauges(),
             **self.quota_client.gauges(),
             **self.quota_service.gauges(),
+            **self.limit_client.gauges(),
             **self._slot_gauges(),
             **self._response_gauges(),
             'requests_in_flight': (
@@ -395,6 +399,6 @@
         while True:
             await asyncio.sleep(EXPIRY_CHECK_INTERVAL_S)
             self.directory.expire(self.clocks.monotonic())
-            self.balancer.remove_departed(
-                {s.server_id for s in self.directory}
-            )
+            registered = {s.server_id for s in self.directory}
+            self.balancer.remove_departed(registered)
+            self.limit_client.remove_departed(registered)
--- a/balsamdale/platform/headers.py
+++ b/balsamdale/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections import abc as collections_abc
 from http import cookies
+import re
 
 from balsamdale import errors
 from balsamdale import routes
@@ -16,6 +17,7 @@
 NOT_EXECUTED = 'X-Not-Executed'
 SERVER_LOAD = 'X-Server-Load'
 SERVER_LEAVING = 'Server-Leaving'
+SERVER_LIMIT = 'Server-Limit'
 PROGRAM_ID = 'X-Program-Id'
 PROGRAM_TIME_LEFT = 'X-Finish-Ms'
 TOKEN_BUDGET = 'X-Token-Budget'
@@ -57,11 +59,14 @@
         'X-Expect-Version',
     )
 )
-HIDDEN_FROM_CALLERS = frozenset((SERVER_LOAD.lower(), SERVER_LEAVING.lower()))
+HIDDEN_FROM_CALLERS = frozenset(
+    name.lower() for name in (SERVER_LOAD, SERVER_LEAVING, SERVER_LIMIT)
+)
 # Bounds of a plausible load report. No server has this many requests, and
 # none is 100 times slower, or 10 times faster, than normal and still serves.
 MAX_REPORTED_REQUESTS = 65536
 SLOWDOWN_PERCENT = range(10, 10001)
+DECIMAL_NUMBER = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 
 class PlatformWireFormat(wire.WireFormat):
@@ -124,12 +129,15 @@
         self, status: int, headers: collections_abc.Mapping[str, str]
     ) -> wire.ResponseMetadata:
         load = _parse_load(headers.get(SERVER_LOAD, ''))
+        limit_per_s = _parse_limit(headers.get(SERVER_LIMIT, ''))
         return wire.ResponseMetadata(
             is_signed=SIGNATURE in headers,
             was_not_run=NOT_EXECUTED in headers or status == 421,
             load=load,
             is_load_malformed=load is None and SERVER_LOAD in headers,
             is_leaving=headers.get(SERVER_LEAVING, '').strip() == '1',
+            limit_per_s=limit_per_s,
+            is_limit_malformed=limit_per_s is None and SERVER_LIMIT in headers,
         )
 
     def response_headers(
@@ -226,5 +234,11 @@
     return wire.LoadReport(running, waiting, slots, slowdown[0] / 100, True)
 
 
+def _parse_limit(text):
+    """Return the requests per second; None if there is no valid limit."""
+    text = text.strip()
+    return float(text) if DECIMAL_NUMBER.fullmatch(text) else None
+
+
 def _is_short_number(text):
     return text.isascii() and text.isdigit() and len(text) < 10
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -10,6 +10,7 @@
 from balsamdale import events
 from balsamdale import exchange
 from balsamdale import http_connection
+from balsamdale import limit_client
 from balsamdale import metrics
 from balsamdale import quarantine
 from balsamdale import quorum
@@ -143,6 +144,7 @@
         report_leaving: tells the other entries that a server is leaving.
         record_latency: records how long a request took, by its outcome.
         quota: acquires units of the quotas of workspaces.
+        limits: the limits that servers name.
         slots: provides attempts with slots; None if no service needs them.
     """
 
@@ -160,6 +162,7 @@
     report_leaving: collections_abc.Callable[[discovery.ReportLeaving], None]
     record_latency: metrics.RecordValue
     quota: quota.QuotaClient
+    limits: limit_client.LimitClient
     slots: SlotSource | None = None
 
 
@@ -201,6 +204,8 @@
         last_received_s: time of the last data from the server.
         load: load of the latest server when it was chosen.
         report_age_s: age of that server's load report at the time.
+        server_limit_per_s: limit that the latest server had named; None
+            without one.
         chosen_by: the factor that decided for that server.
         caller_wait_s: time spent waiting for the caller to read.
         stage_times_s: time since arrival of each stage reached.
@@ -229,6 +234,7 @@
     last_received_s: float = 0.0
     load: float = 0.0
     report_age_s: float = 0.0
+    server_limit_per_s: float | None = None
     chosen_by: str = ''
     caller_wait_s: float = 0.0
     stage_times_s: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -271,6 +277,8 @@
             fields['connection'] = self.transfer.connection
         if self.reader.incomplete_bytes:
             fields['incomplete_bytes'] = self.reader.incomplete_bytes
+        if self.server_limit_per_s is not None:
+            fields['server_limit_per_s'] = self.server_limit_per_s
         if self.workspace is not None:
             fields['workspace'] = self.workspace.name
         if self.waited_s:
--- a/balsamdale/wire.py
+++ b/balsamdale/wire.py
@@ -97,6 +97,9 @@
         load: the reported load; None if it has no valid report.
         is_load_malformed: whether it has a report that is not valid.
         is_leaving: whether the server says that it is leaving.
+        limit_per_s: requests per second that the server takes from all
+            instances together; None if it names no valid limit.
+        is_limit_malformed: whether it names a limit that is not valid.
     """
 
     is_signed: bool
@@ -104,6 +107,8 @@
     load: LoadReport | None
     is_load_malformed: bool = False
     is_leaving: bool = False
+    limit_per_s: float | None = None
+    is_limit_malformed: bool = False
 
 
 class WireFormat(abc.ABC):
--- a/standins/routed.py
+++ b/standins/routed.py
@@ -33,6 +33,7 @@
     until the connection is closed.
     `slowdown` is the fourth value of the load header, which has three
     without it; `is_leaving` adds the header of a leaving server.
+    `limit` is the header of a server that names a limit of requests a second.
     `fail` is how many of the next requests get a response of status 500.
     """
 
@@ -50,6 +51,7 @@
     resets: bool = False
     slowdown: int = 0
     is_leaving: bool = False
+    limit: str = ''
     fail: int = 0
     break_gate: asyncio.Event | None = None
 
@@ -100,6 +102,8 @@
             headers['X-Server-Load'] += f',{self.switches.slowdown}'
         if self.switches.is_leaving:
             headers['Server-Leaving'] = '1'
+        if self.switches.limit:
+            headers['Server-Limit'] = self.switches.limit
         if request.headers['X-Expect-Instance'] != self.server_id:
             return web.Response(status=421, headers=headers)
         if self.switches.refuse:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -152,6 +152,27 @@
     assert not WIRE_FORMAT.decode_response(200, {}).is_load_malformed
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit_per_s'),
+    [('3.2', 3.2), ('12', 12.0), (' 0.5 ', 0.5), ('0', 0.0)],
+)
+def test_limit_is_a_decimal_number(text, limit_per_s):
+    sent = {'Server-Limit': text}
+    metadata = WIRE_FORMAT.decode_response(200, sent)
+    assert metadata.limit_per_s == limit_per_s
+    assert not metadata.is_limit_malformed
+    assert WIRE_FORMAT.response_headers(sent) == []
+
+
+@pytest.mark.parametrize(
+    'text', ['', 'x', '-1', 'nan', 'inf', '1e3', '1,5', '\u0663', '9' * 5000]
+)
+def test_malformed_limit_is_none(text):
+    metadata = WIRE_FORMAT.decode_response(200, {'Server-Limit': text})
+    assert metadata.limit_per_s is None
+    assert metadata.is_limit_malformed
+
+
 def test_refusal_says_when_to_come_back():
     refused = errors.Refused('no_room', 503, '', 'no', 0.25)
     assert ('Retry-After', '0.250') in WIRE_FORMAT.refusal_headers(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -796,3 +796,18 @@
 def _address(deployment, server_id):
     item = deployment.store._items[f'servers/{server_id}']
     return json.loads(_value(item))['address']
+
+
+def test_limit_of_a_server_is_logged_and_forgotten_when_withdrawn(tmp_path):
+    async def scenario(deployment):
+        entry = deployment.nodes['entry-a']
+        server, _ = entry.directory.ready('plain')
+        deployment.servers[server.server_id].switches.limit = '40.5'
+        while entry.limit_client.rate_per_s(server) is None:
+            assert (await deployment.post('/reads/x'))[0] == 200
+        assert entry.limit_client.rate_per_s(server) == 40.5
+        deployment.servers[server.server_id].switches.limit = ''
+        while entry.limit_client.rate_per_s(server) is not None:
+            assert (await deployment.post('/reads/x'))[0] == 200
+
+    routed_site.run(tmp_path, scenario)
