Keep the limits that servers name over all entries together

Cause: nothing read `Server-Limit`; servers were chosen by load alone. The class of fault: a statement about a shared resource that is judged, if at all, by each instance for itself.

Change: a request to a limited server needs a unit. One instance for each service lends them (the first archive by rendezvous hashing, as for quotas), as many a second as the server has named; entries ask while they have demand, at most four times a second, and give back what they have not used after a second. Its bucket starts empty, so that a new lender adds nothing to what the one before has lent. While no lender replies, an entry uses its share of the limit. What an entry hears of a limit, or of its end, reaches the others with these messages. A server without a unit is not chosen; a request of a program in progress waits up to 0.25 s for one if there is no other server, others are refused at once. Weighed: a fixed share for each entry (80 entries of a server that takes 5 a second would each hold a unit: 80 at once); a message for each request; entries that take turns by hashing (they must agree on all limits).

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -11,6 +11,7 @@
 from balsamdale import decisions
 from balsamdale import disk_archive
 from balsamdale import errors
+from balsamdale import limit_service
 from balsamdale import members
 from balsamdale import metrics
 from balsamdale import node
@@ -55,6 +56,9 @@
             clocks.monotonic,
             settings.quota_bounds,
         )
+        self.limit_service = limit_service.LimitService(
+            self.links, self._limiter_names, clocks.monotonic
+        )
         self._absence_tracker = replica_set.AbsenceTracker(settings.losses)
         self._decommission_task: asyncio.Task | None = None
         key = platform_adapter.decommission_key(settings.instance_id)
@@ -80,6 +84,7 @@
         return {
             **super().gauges(),
             **self.quota_service.gauges(),
+            **self.limit_service.gauges(),
             'archive_whole': (
                 'Whether the folder lacks nothing',
                 lambda: float(self.archive.is_in_sync),
--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -35,6 +35,10 @@
 RECOVERY_CHECK_INTERVAL_S = 0.5
 # Retry-After of a refusal: about the time of one answer.
 CALLER_RETRY_AFTER_S = 0.3
+# Longest wait of a request for a limited server, and share of its remaining
+# time.
+MAX_LIMIT_WAIT_S = 0.25
+MAX_LIMIT_WAIT_SHARE = 0.25
 # Status of another server at the address of the chosen one.
 MISDIRECTED_STATUS = 421
 
@@ -67,6 +71,7 @@
         """Return the server for a request, or None if all are full."""
         now_s = self._context.clock()
         servers = self._context.directory.ready(state.service.name)
+        excluded = excluded | self._context.limits.withheld(servers)
         balancer = self._context.balancer
         if not balancer.compares_finish(servers):
             return balancer.choose(servers, state.affinity, excluded, now_s)
@@ -82,6 +87,39 @@
             and state.delivered_attempts + 1 < state.route.attempt_limit,
         )
 
+    async def choose_in_time(
+        self,
+        state: request_state.RequestState,
+        excluded: collections_abc.Set[str],
+    ) -> balance.Choice | None:
+        """Return the server for a request, or None if all are full.
+
+        A request of a program in progress waits a short while if only the
+        limits of servers leave no room for it.
+        """
+        choice = self.choose(state, excluded)
+        while choice is None and await self._wait_for_limit(state, excluded):
+            choice = self.choose(state, excluded)
+        return choice
+
+    async def _wait_for_limit(self, state, excluded):
+        """Wait for a unit; return whether it is worth choosing again."""
+        context, now_s = self._context, self._context.clock()
+        servers = context.directory.ready(state.service.name)
+        if not context.limits.withheld(servers) - excluded:
+            return False
+        wait_s = 0.0
+        if state.is_in_progress:
+            wait_s = min(
+                MAX_LIMIT_WAIT_S - state.limit_wait_s,
+                MAX_LIMIT_WAIT_SHARE * (state.deadline_s - now_s),
+            )
+        has_units = await context.limits.wait(
+            state.service.name, max(0.0, wait_s)
+        )
+        state.limit_wait_s += context.clock() - now_s
+        return has_units
+
     def uses_slots(self, state: request_state.RequestState) -> bool:
         """Return whether the attempts of a request need slots."""
         slots = self._context.slots
@@ -131,6 +169,8 @@
                 timeout_s = state.deadline_s - self._context.clock()
                 if timeout_s < MIN_ATTEMPT_TIME_S:
                     raise TimeoutError
+                if not self._context.limits.take(choice.server):
+                    continue
                 state.attempts += 1
                 excluded.add(choice.server.server_id)
                 state.load = choice.load
@@ -151,7 +191,7 @@
             Refused: no slot is free in time.
         """
         if not self.uses_slots(state):
-            return self.choose(state, excluded)
+            return await self.choose_in_time(state, excluded)
         try:
             return await stack.enter_async_context(
                 self._context.slots.acquire(state, excluded, self.choose)
@@ -217,6 +257,7 @@
             return attempt.has_run
         except errors.BackendFailed as failure:
             if failure.ran == 'no':
+                self._context.limits.give_back(server)
                 self._suspect_server(
                     server, state.call.request_id, str(failure)
                 )
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -13,6 +13,7 @@
 from balsamdale import exchange
 from balsamdale import http_connection
 from balsamdale import limit_client
+from balsamdale import limit_service
 from balsamdale import listener
 from balsamdale import members
 from balsamdale import metrics
@@ -107,7 +108,15 @@
             settings.failure_domain,
             clocks.monotonic,
         )
-        self.limit_client = limit_client.LimitClient(clocks.monotonic)
+        self.limit_client = limit_client.LimitClient(
+            self.relay,
+            self._limiter_names,
+            lambda: len(self.member_directory.entries()),
+            clocks.monotonic,
+        )
+        self.limit_service = limit_service.LimitService(
+            self.links, self._limiter_names, clocks.monotonic
+        )
         started_ms = int(clocks.wall() * 1000)
         self.slot_service = allocation_service.SlotService(
             self.links,
@@ -200,6 +209,7 @@
             **self.quota_client.gauges(),
             **self.quota_service.gauges(),
             **self.limit_client.gauges(),
+            **self.limit_service.gauges(),
             **self._slot_gauges(),
             **self._response_gauges(),
             'requests_in_flight': (
@@ -309,6 +319,7 @@
     async def close(self) -> None:
         await self.listener.close()
         self.quota_client.close()
+        self.limit_client.close()
         await self._stop_platform_endpoints()
         await self.http_client.close()
         self.slot_client.close()
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -214,6 +214,7 @@
         record_ids: ids of its stored turn and account.
         holds_unit: whether it holds a unit of its workspace's quota.
         waited_s: time that its attempts have waited for slots.
+        limit_wait_s: time that its attempts have waited for limited servers.
         allocator: instance that allocated the latest slot; empty if none
             did.
     """
@@ -245,6 +246,7 @@
     record_ids: RecordIds = RecordIds('', '', '')
     holds_unit: bool = False
     waited_s: float = 0.0
+    limit_wait_s: float = 0.0
     allocator: str = ''
 
     @property
@@ -254,6 +256,13 @@
             return self.call.affinity
         return self.call.object_key if self.route.is_sticky else ''
 
+    @property
+    def is_in_progress(self) -> bool:
+        """Whether it belongs to a program that has begun."""
+        if not self.call.program_id:
+            return False
+        return bool(self.call.parent_id) or not self.route.stores_turns
+
     def record_stage(self, name: str, now_s: float) -> None:
         """Record that a stage was reached, with the time since arrival."""
         self.stage_times_s[name] = round(now_s - self.started_s, 4)
@@ -281,6 +290,8 @@
             fields['server_limit_per_s'] = self.server_limit_per_s
         if self.workspace is not None:
             fields['workspace'] = self.workspace.name
+        if self.limit_wait_s:
+            fields['limit_wait_s'] = round(self.limit_wait_s, 4)
         if self.waited_s:
             fields['waited_s'] = round(self.waited_s, 4)
             fields['allocator'] = self.allocator
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -167,7 +167,7 @@
         only the program's account is read and written.
         """
         call, ids = state.call, state.record_ids
-        self._check_capacity(state)
+        await self._check_capacity(state)
         chain = ()
         if state.route.stores_turns and ids.parent_id:
             chain = self._cache.chain(ids.parent_id)
@@ -277,14 +277,14 @@
             raise errors.Refused('not_kept', 502, str(error), 'yes') from error
         self._cache.add((turn,))
 
-    def _check_capacity(self, state):
+    async def _check_capacity(self, state):
         """Refuse a turn if all servers are full, before reserving tokens.
 
         Where slots are allocated, only the allocator knows.
         """
         if self.attempts.uses_slots(state):
             return
-        choice = self.attempts.choose(state, frozenset())
+        choice = await self.attempts.choose_in_time(state, frozenset())
         if choice is None:
             raise self.attempts.capacity_refusal(state)
 
