Separate the encoding of a request from its sending

A request can then be encoded by one entry and sent by another. `probe` tells a refused connection from one that is not answered; `is_reachable` is as before. No behaviour changes: tests of exchange and of nodes pass unchanged.

--- a/balsamdale/exchange.py
+++ b/balsamdale/exchange.py
@@ -9,6 +9,7 @@
 from collections import abc as collections_abc
 import contextlib
 import dataclasses
+import typing
 
 import aiohttp
 from aiohttp import client_reqrep
@@ -20,7 +21,7 @@
 from balsamdale import sockets
 from balsamdale import wire
 
-__all__ = ['HttpClient', 'Response']
+__all__ = ['EncodedRequest', 'HttpClient', 'Response']
 
 # Time for a new connection: many round trips between failure domains.
 CONNECT_TIMEOUT_S = 0.25
@@ -68,6 +69,23 @@
         return await super().send(conn)
 
 
+@dataclasses.dataclass(frozen=True)
+class EncodedRequest:
+    """A request as it is sent to a server.
+
+    Attributes:
+        method: HTTP method.
+        target: path and query.
+        headers: all headers.
+        body: the whole body.
+    """
+
+    method: str
+    target: str
+    headers: tuple[wire.Header, ...]
+    body: bytes
+
+
 @dataclasses.dataclass
 class Response:
     """A server's response, whose body has not been read yet.
@@ -80,10 +98,10 @@
     """
 
     status: int
-    headers: multidict.CIMultiDictProxy
+    headers: multidict.CIMultiDictProxy | multidict.CIMultiDict
     metadata: wire.ResponseMetadata
     transfer: http_connection.Transfer
-    _response: aiohttp.ClientResponse
+    _parts: collections_abc.AsyncIterator[bytes]
 
     async def skip(self) -> bool:
         """Drop the body, and reuse the connection if it is short and whole.
@@ -97,13 +115,13 @@
                 skipped_bytes += len(chunk)
                 if skipped_bytes > MAX_SKIPPED_BYTES:
                     return False
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, errors.BackendFailed):
             return False
         return True
 
     def chunks(self) -> collections_abc.AsyncIterator[bytes]:
         """Yield the body as it arrives."""
-        return self._response.content.iter_any()
+        return self._parts
 
 
 class HttpClient:
@@ -131,6 +149,21 @@
             collections.Counter()
         )
 
+    def encode(
+        self, call: wire.Call, body: bytes, server_id: str, timeout_s: float
+    ) -> EncodedRequest:
+        """Return a request as it is sent to a server.
+
+        Args:
+            call: the caller's request.
+            body: the body to send.
+            server_id: the server that must run the request.
+            timeout_s: remaining time that is sent to the server; not
+                enforced here.
+        """
+        headers = self._wire_format.request_headers(call, server_id, timeout_s)
+        return EncodedRequest(call.method, call.target, tuple(headers), body)
+
     @contextlib.asynccontextmanager
     async def send(
         self,
@@ -139,34 +172,40 @@
         address: str,
         server_id: str,
         timeout_s: float,
+    ) -> collections_abc.AsyncIterator[Response]:
+        """Encode and send one request, and yield its response.
+
+        See `encode` and `send_encoded`.
+        """
+        request = self.encode(call, body, server_id, timeout_s)
+        async with self.send_encoded(request, address, server_id) as response:
+            yield response
+
+    @contextlib.asynccontextmanager
+    async def send_encoded(
+        self, request: EncodedRequest, address: str, server_id: str
     ) -> collections_abc.AsyncIterator[Response]:
         """Send one request and yield its response.
 
         The connection is reused only if the body was read to its end.
 
         Args:
-            call: the caller's request.
-            body: the body to send.
+            request: the request.
             address: IP address and port of the server.
             server_id: the server that must run the request.
-            timeout_s: remaining time that is sent to the server; not
-                enforced here.
 
         Raises:
             BackendFailed: the response is missing or incomplete; `ran` tells
                 whether the request may have run.
         """
-        headers = multidict.CIMultiDict(
-            self._wire_format.request_headers(call, server_id, timeout_s)
-        )
-        url = yarl.URL(f'http://{address}{call.target}', encoded=True)
+        url = yarl.URL(f'http://{address}{request.target}', encoded=True)
         self.requests_sent += 1
         try:
             async with self._get_session().request(
-                call.method,
+                request.method,
                 url,
-                headers=headers,
-                data=body or None,
+                headers=multidict.CIMultiDict(request.headers),
+                data=request.body or None,
                 allow_redirects=False,
                 skip_auto_headers=LIBRARY_HEADERS,
             ) as response:
@@ -180,7 +219,7 @@
                         response.headers,
                         metadata,
                         transfer,
-                        response,
+                        response.content.iter_any(),
                     )
                 finally:
                     ending = transfer.framing, transfer.connection
@@ -199,14 +238,22 @@
 
     async def is_reachable(self, address: str) -> bool:
         """Return whether a server accepts a new connection."""
+        return await self.probe(address) == 'open'
+
+    async def probe(
+        self, address: str
+    ) -> typing.Literal['open', 'refused', 'silent']:
+        """Return what becomes of a new connection to a server."""
         host, _, port = address.rpartition(':')
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return False
+        except TimeoutError:
+            return 'silent'
+        except OSError:
+            return 'refused'
         writer.close()
-        return True
+        return 'open'
 
     async def close(self) -> None:
         """Close every connection."""
