Log which servers other entries reach

Change: an entry that suspects a server asks the others whether they reach it (`AskServer`), and logs `server_path` with the state of its own new connection and the verdict: direct, relayed (only another entry reaches it), unreachable, unconfirmed. No decision changes.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -360,6 +360,7 @@
             )
             if self._context.slots is not None:
                 self._context.slots.record_reachable(server, False)
+            self._background.spawn(self._context.paths.check(server))
             self._background.spawn(self._check_recovery(server))
 
     async def _check_recovery(self, server):
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import random
 
 from balsamdale import adapter
 from balsamdale import allocation
@@ -28,6 +29,7 @@
 from balsamdale import routes
 from balsamdale.scheduling import balance
 from balsamdale.scheduling import memory
+from balsamdale import server_paths
 from balsamdale import serving
 
 __all__ = ['EntryNode']
@@ -78,6 +80,12 @@
             settings.failure_domain,
         )
         self.http_client = exchange.HttpClient(platform_adapter.wire_format)
+        self.server_paths = server_paths.ServerPaths(
+            self.http_client,
+            self.links,
+            self.member_directory.entry_peers,
+            random.Random(settings.instance_id),
+        )
         self.quarantine = quarantine.Quarantine(QUARANTINE_CRASH_LIMIT)
         self.reports_ignored = 0
         self.links.serve(quarantine.ReportCrash, self._on_crash)
@@ -162,6 +170,7 @@
                 ),
                 quota=self.quota_client,
                 limits=self.limit_client,
+                paths=self.server_paths,
                 slots=self.slot_client,
             )
         )
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -17,6 +17,7 @@
 from balsamdale import quota
 from balsamdale import routes
 from balsamdale.scheduling import balance
+from balsamdale import server_paths
 from balsamdale import wire
 
 __all__ = [
@@ -145,6 +146,7 @@
         record_latency: records how long a request took, by its outcome.
         quota: acquires units of the quotas of workspaces.
         limits: the limits that servers name.
+        paths: paths to backend servers.
         slots: provides attempts with slots; None if no service needs them.
     """
 
@@ -163,6 +165,7 @@
     record_latency: metrics.RecordValue
     quota: quota.QuotaClient
     limits: limit_client.LimitClient
+    paths: server_paths.ServerPaths
     slots: SlotSource | None = None
 
 
