Add a failing test of an entry that is cut from all servers

What callers see: 503 for each of 60 requests (reads, alerts and turns) at an entry that reaches no server, though another entry reaches all of them.

--- /dev/null
+++ b/tests/test_cut_entries.py
@@ -0,0 +1,70 @@
+"""Tests of an entry that has lost its links to the backend servers."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from tests import routed_site
+
+CONNECT_TIMEOUT_S = 0.25
+
+
+class CutSession:
+    """A client session whose connections are dropped or refused."""
+
+    def __init__(self, is_refused):
+        self._is_refused = is_refused
+
+    @contextlib.asynccontextmanager
+    async def request(self, *_args, **_kwargs):
+        if self._is_refused:
+            raise aiohttp.ClientConnectorError(None, ConnectionRefusedError())
+        await asyncio.sleep(CONNECT_TIMEOUT_S)
+        raise aiohttp.ConnectionTimeoutError
+        yield
+
+    async def close(self):
+        return
+
+
+@contextlib.contextmanager
+def cut_from_servers(entry, is_refused=False):
+    """Cut an entry from all backend servers, and from nothing else."""
+
+    async def probe(_address):
+        if is_refused:
+            return 'refused'
+        await asyncio.sleep(CONNECT_TIMEOUT_S)
+        return 'silent'
+
+    async def is_reachable(address):
+        return await probe(address) == 'open'
+
+    client = entry.http_client
+    session, client._session = client._session, CutSession(is_refused)
+    client.probe, client.is_reachable = probe, is_reachable
+    try:
+        yield
+    finally:
+        client._session = session
+        del client.probe, client.is_reachable
+
+
+def test_entry_that_is_cut_from_all_servers_refuses_its_callers(tmp_path):
+    async def scenario(deployment):
+        entry = deployment.nodes['entry-a']
+        for is_refused in (False, True):
+            with cut_from_servers(entry, is_refused):
+                statuses = []
+                for number in range(10):
+                    for path in ('/reads/x', '/alerts/x'):
+                        status, _, _ = await deployment.post(path)
+                        statuses.append(status)
+                    turn_id = f't{number}-{is_refused}'
+                    status, body, _ = await deployment.post_turn(turn_id)
+                    statuses.append(status)
+                    assert body.count(b'data:') in (0, 3)
+            assert statuses.count(200) == len(statuses)
+
+    routed_site.run(tmp_path, scenario)
