Send requests through another entry while the path to a server is lost

Most got 503 "no server has capacity" after a second of four connection attempts.

Cause: an entry judged a server by its own connections alone, so a lost path of its own counted as a dead server. The class of fault: a failure of one's own link taken for the failure of what is behind it.

Server choice, budgets, limits, stored turns and retries stay where the request is. The first lost path has the paths to the service's other servers checked; lost ones are checked twice a second and used again once they are back. A server that only this entry does not reach is not suspected, and an attempt that ends with its path does not count against it. Open connections are kept while new ones are refused. Weighed: to leave the registry (callers keep addresses up to three times as long as they are told, and two thirds of the fleet would stand idle).

test_request_that_crashes_servers_is_stopped_everywhere let one entry lose its connections to a server that the other still reached; that is a lost path and no crash. Now no entry reaches the servers that crash; all else is as it was.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -8,6 +8,7 @@
 from collections import abc as collections_abc
 import contextlib
 import dataclasses
+import itertools
 
 from balsamdale import api_keys
 from balsamdale import background
@@ -30,9 +31,11 @@
 # Silence after which a server's reachability is checked: longer than the
 # pauses between events that are on time.
 SILENCE_BEFORE_CHECK_S = 0.3
-# Consecutive failed connections after which a server counts as unreachable.
-UNREACHABLE_AFTER_FAILURES = 2
 RECOVERY_CHECK_INTERVAL_S = 0.5
+# Checks of an unreachable server for each question to other entries.
+CHECKS_PER_QUESTION = 4
+# Longest time that a request waits to learn who reaches its server.
+FIND_PATH_TIMEOUT_S = 0.1
 # Retry-After of a refusal: about the time of one answer.
 CALLER_RETRY_AFTER_S = 0.3
 # Longest wait of a request for a limited server, and share of its remaining
@@ -180,7 +183,7 @@
                     choice.server
                 )
                 if await self._attempt(
-                    state, choice.server, body, timeout_s, deliver
+                    state, choice.server, excluded, body, timeout_s, deliver
                 ):
                     return
 
@@ -245,7 +248,9 @@
             )
         return self.capacity_refusal(state)
 
-    async def _attempt(self, state, server, body, timeout_s, deliver):
+    async def _attempt(
+        self, state, server, excluded, body, timeout_s, deliver
+    ):
         """Make one attempt; return False if another one may follow."""
         state.server_id = server.server_id
         state.transfer = None
@@ -258,9 +263,12 @@
         except errors.BackendFailed as failure:
             if failure.ran == 'no':
                 self._context.limits.give_back(server)
-                self._suspect_server(
-                    server, state.call.request_id, str(failure)
-                )
+                if await self._finds_path(server):
+                    excluded.discard(server.server_id)
+                else:
+                    self._suspect_server(
+                        server, state.call.request_id, str(failure)
+                    )
                 return False
             state.delivered_attempts += 1
             state.may_have_run = True
@@ -269,26 +277,36 @@
 
     async def _send(self, state, server, body, timeout_s, deliver):
         """Send a request; return whether the server ran it to the end."""
+        state.helper_id = self._context.paths.helper_id(server)
         async with (
             self._stop_if_unreachable(state, server),
-            self._context.http_client.send(
-                _resuming_call(state),
-                body,
-                server.address,
-                server.server_id,
-                timeout_s,
+            self._context.paths.send(
+                _resuming_call(state), body, server, timeout_s
             ) as response,
         ):
             return await self._receive_response(
                 state, server, response, deliver
             )
 
+    async def _finds_path(self, server):
+        """Return whether another entry reaches a server that failed.
+
+        The request does not wait long for it: other servers may do.
+        """
+        check = self._context.paths.check(server, has_failed=True)
+        try:
+            async with asyncio.timeout(FIND_PATH_TIMEOUT_S):
+                return await check == 'relayed'
+        except TimeoutError:
+            return False
+
     @contextlib.asynccontextmanager
     async def _stop_if_unreachable(self, state, server):
         """Stop an attempt whose server is silent and unreachable.
 
         A silent server may only be slow; one that does not accept a new
-        connection either will not respond on the existing one.
+        connection either will not respond on the existing one. Only other
+        entries can tell whether it is the server that has failed.
         """
         state.last_received_s = self._context.clock()
         try:
@@ -303,6 +321,10 @@
         except TimeoutError as error:
             if not scope.expired():
                 raise
+            if self._context.paths.helper_id(server):
+                raise errors.PathLost(
+                    server.server_id, 'unknown', 'the path to it was lost'
+                ) from error
             self._suspect_server(
                 server, state.call.request_id, 'silent and unreachable'
             )
@@ -319,14 +341,21 @@
             if wait_s > 0:
                 continue
             wait_s = SILENCE_BEFORE_CHECK_S
-            if not await self._is_unreachable(server):
+            verdict = await self._context.paths.check(server)
+            if verdict == 'direct':
+                continue
+            # Open connections may live on while new ones are refused.
+            if verdict == 'relayed' and (
+                state.helper_id or self._context.paths.is_refused(server)
+            ):
                 continue
             scope.reschedule(asyncio.get_running_loop().time())
             return
 
     async def _check_crash(self, state, server):
         """Report a crash if a server died with a request in flight."""
-        if not await self._is_unreachable(server):
+        verdict = await self._context.paths.check(server)
+        if verdict in ('direct', 'relayed'):
             return
         # All requests that fail at one incarnation of a server count as one
         # crash, wherever they are reported.
@@ -343,12 +372,6 @@
             digest=report.digest,
         )
 
-    async def _is_unreachable(self, server):
-        for _ in range(UNREACHABLE_AFTER_FAILURES):
-            if await self._context.http_client.is_reachable(server.address):
-                return False
-        return True
-
     def _suspect_server(self, server, request_id, reason):
         """Mark a server as suspected until it accepts connections again."""
         if self._context.balancer.mark_suspected(server.server_id):
@@ -360,16 +383,20 @@
             )
             if self._context.slots is not None:
                 self._context.slots.record_reachable(server, False)
-            self._background.spawn(self._context.paths.check(server))
             self._background.spawn(self._check_recovery(server))
 
     async def _check_recovery(self, server):
         """Check a server until it recovers or is no longer registered."""
         context = self._context
-        while server in context.directory.ready(server.service):
+        for check_number in itertools.count(1):
             await asyncio.sleep(RECOVERY_CHECK_INTERVAL_S)
+            if server not in context.directory.ready(server.service):
+                break
             if await context.http_client.is_reachable(server.address):
                 break
+            is_asking = check_number % CHECKS_PER_QUESTION == 0
+            if is_asking and await self._finds_path(server):
+                break
         context.balancer.mark_healthy(server.server_id)
         if context.slots is not None:
             context.slots.record_reachable(server, True)
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -84,6 +84,9 @@
             self.http_client,
             self.links,
             self.member_directory.entry_peers,
+            platform_adapter.wire_format,
+            self.directory.ready,
+            clocks.monotonic,
             random.Random(settings.instance_id),
         )
         self.quarantine = quarantine.Quarantine(QUARANTINE_CRASH_LIMIT)
@@ -219,6 +222,7 @@
             **self.quota_service.gauges(),
             **self.limit_client.gauges(),
             **self.limit_service.gauges(),
+            **self.server_paths.gauges(),
             **self._slot_gauges(),
             **self._response_gauges(),
             'requests_in_flight': (
@@ -321,7 +325,8 @@
         earliest_end_s = loop.time() + STALE_REGISTRY_DRAIN_S
         deadline_s = loop.time() + self.settings.grace_s - CLOSE_RESERVE_S
         while loop.time() < deadline_s:
-            if loop.time() > earliest_end_s and not self.handler.in_flight:
+            in_flight = self.handler.in_flight + self.server_paths.relaying
+            if loop.time() > earliest_end_s and not in_flight:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
@@ -329,6 +334,7 @@
         await self.listener.close()
         self.quota_client.close()
         self.limit_client.close()
+        self.server_paths.close()
         await self._stop_platform_endpoints()
         await self.http_client.close()
         self.slot_client.close()
--- a/balsamdale/errors.py
+++ b/balsamdale/errors.py
@@ -234,6 +234,10 @@
         self.crashed = crashed
 
 
+class PathLost(BackendFailed):
+    """This instance lost its path to a server that others reach."""
+
+
 class CallerDisconnected(BalsamdaleError):
     """The caller closed its connection before its response was complete."""
 
--- a/balsamdale/outcomes.py
+++ b/balsamdale/outcomes.py
@@ -60,6 +60,8 @@
         kind = 'ok' if attempt.has_run else 'not_run'
         if attempt.has_run and state.status >= 500:
             kind = 'failed'
+    except errors.PathLost:
+        raise
     except errors.BackendFailed as failure:
         is_silent = failure.crashed and failure.ran == 'unknown'
         kind = 'silent' if is_silent else 'failed'
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -207,6 +207,8 @@
         last_received_s: time of the last data from the server.
         load: load of the latest server when it was chosen.
         report_age_s: age of that server's load report at the time.
+        helper_id: entry that sent the latest attempt for this one; empty if
+            it was sent directly.
         server_limit_per_s: limit that the latest server had named; None
             without one.
         chosen_by: the factor that decided for that server.
@@ -238,6 +240,7 @@
     last_received_s: float = 0.0
     load: float = 0.0
     report_age_s: float = 0.0
+    helper_id: str = ''
     server_limit_per_s: float | None = None
     chosen_by: str = ''
     caller_wait_s: float = 0.0
@@ -289,6 +292,8 @@
             fields['connection'] = self.transfer.connection
         if self.reader.incomplete_bytes:
             fields['incomplete_bytes'] = self.reader.incomplete_bytes
+        if self.helper_id:
+            fields['helper'] = self.helper_id
         if self.server_limit_per_s is not None:
             fields['server_limit_per_s'] = self.server_limit_per_s
         if self.workspace is not None:
--- a/balsamdale/server_paths.py
+++ b/balsamdale/server_paths.py
@@ -1,27 +1,46 @@
-"""Paths of one entry to backend servers, compared with those of others.
+"""Paths of one entry to backend servers: direct, or through another entry.
 
 An entry that cannot connect to a server does not know whether the server or
-its own link has failed. Other entries can tell.
+its own link has failed. It asks other entries, and sends its requests through
+one that reaches the server.
 """
 
 import asyncio
 from collections import abc as collections_abc
+import contextlib
+import dataclasses
+import itertools
 import random
 import typing
 
+import aiohttp
+import multidict
+
+from balsamdale import background
 from balsamdale import codec
 from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import errors
 from balsamdale import exchange
+from balsamdale import http_connection
 from balsamdale import link
+from balsamdale import metrics
+from balsamdale import wire
 
-__all__ = ['AskServer', 'ServerPaths', 'ServerSeen']
+__all__ = ['AskServer', 'RelayAttempt', 'ServerPaths', 'ServerSeen']
 
 # Time for a peer's reply: one connection to the server, and the way.
 ASK_TIMEOUT_S = 0.4
-# Peers that are asked.
+# Peers that are asked at once, and in all.
+ASKED_AT_ONCE = 4
 MAX_ASKED = 12
+# Interval between checks whether a lost path is back, and paths per check.
+CHECK_INTERVAL_S = 0.5
+CHECKS_AT_ONCE = 4
+# Paths that are checked when the first one is lost.
+MAX_FIRST_CHECKS = 64
+# Age of what a server last sent at which it still counts as reached.
+HEARD_S = 0.5
 
 Verdict = typing.Literal['direct', 'relayed', 'unreachable', 'unconfirmed']
 
@@ -51,14 +70,103 @@
     is_cut: bool
 
 
+@codec.message
+class RelayAttempt:
+    """Asks a peer to send a request to a server.
+
+    The replies are `RelayedHead`, any number of `RelayedPart`, and
+    `RelayedEnd`; or `RelayFailed` at any point.
+
+    Attributes:
+        method: HTTP method.
+        target: path and query.
+        headers: all headers.
+        body: the whole body.
+        address: IP address and port of the server.
+        server_id: the server that must run the request.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    address: str
+    server_id: str
+
+
+@codec.message
+class RelayedHead:
+    """Status and headers of a server's response."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    framing: str
+
+
+@codec.message
+class RelayedPart:
+    """Bytes of the body as they arrived.
+
+    Attributes:
+        number: 0 for the first part, and so on; links may lose messages.
+        data: the bytes.
+    """
+
+    number: int
+    data: bytes
+
+
+@codec.message
+class RelayedEnd:
+    """The body was whole.
+
+    Attributes:
+        parts: number of its parts.
+        connection: one of `http_connection.CONNECTION_STATES`.
+    """
+
+    parts: int
+    connection: str
+
+
+@codec.message
+class RelayFailed:
+    """The attempt failed; see `errors.BackendFailed`."""
+
+    ran: str
+    detail: str
+    crashed: bool
+
+
+@dataclasses.dataclass
+class _LostPath:
+    """A server that this entry does not reach.
+
+    Attributes:
+        server: the server.
+        helper_id: entry that reaches it; empty while none is known.
+        is_refused: whether new connections are refused, not just unanswered.
+    """
+
+    server: discovery.Server
+    helper_id: str = ''
+    is_refused: bool = False
+
+
 class ServerPaths:
-    """Finds out who reaches a server.
+    """Sends requests to servers by the path that works.
 
     Args:
-        http_client: connects directly.
+        http_client: sends requests directly.
         links: connections to peers.
-        peers: returns the ids of the other entries.
+        peers: returns the ids of the other entries, preferred ones first.
+        wire_format: translation of header names.
+        ready: returns the servers of a service.
+        clock: returns the present time in seconds.
         generator: source of the choice between peers.
+
+    Attributes:
+        relaying: requests of other entries that are being sent for them.
     """
 
     def __init__(
@@ -66,53 +174,368 @@
         http_client: exchange.HttpClient,
         links: link.Links,
         peers: collections_abc.Callable[[], list[str]],
+        wire_format: wire.WireFormat,
+        ready: collections_abc.Callable[
+            [str], collections_abc.Sequence[discovery.Server]
+        ],
+        clock: collections_abc.Callable[[], float],
         generator: random.Random,
     ):
         self._http_client = http_client
         self._links = links
         self._peers = peers
+        self._wire_format = wire_format
+        self._ready = ready
+        self._clock = clock
         self._generator = generator
+        self._lost: dict[str, _LostPath] = {}
+        self._heard_at_s: dict[str, float] = {}
+        self._checks: dict[str, asyncio.Task] = {}
+        self._background = background.BackgroundTasks('paths')
+        self._is_checking = False
+        self.relaying = 0
+        self._counts = dict.fromkeys(('relayed', 'helped'), 0)
         links.serve(AskServer, self._on_ask_server)
+        links.serve(RelayAttempt, self._on_relay_attempt)
 
-    async def check(self, server: discovery.Server) -> Verdict:
-        """Find out who reaches a server, and log it.
+    def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
+        """Return the gauges by name."""
+        return {
+            'server_paths_lost': (
+                'Servers that only other entries reach',
+                lambda: len(self._lost),
+            ),
+            'attempts_relayed': (
+                'Attempts that other entries sent for this one',
+                lambda: self._counts['relayed'],
+            ),
+            'attempts_helped': (
+                'Attempts that were sent for other entries',
+                lambda: self._counts['helped'],
+            ),
+        }
+
+    def close(self) -> None:
+        """Cancel checks that are under way."""
+        self._background.cancel()
+
+    def helper_id(self, server: discovery.Server) -> str:
+        """Return the entry that reaches a server for this one, if any."""
+        path = self._lost.get(server.address)
+        return path.helper_id if path is not None else ''
+
+    def is_refused(self, server: discovery.Server) -> bool:
+        """Return whether a server refuses connections of this entry only.
+
+        Connections that are open may then live on.
+        """
+        path = self._lost.get(server.address)
+        return path is not None and path.is_refused
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        call: wire.Call,
+        body: bytes,
+        server: discovery.Server,
+        timeout_s: float,
+    ) -> collections_abc.AsyncIterator[exchange.Response]:
+        """Send one request by the path that works; yield its response.
+
+        See `exchange.HttpClient.send`.
+
+        Raises:
+            BackendFailed: the response is missing or incomplete.
+        """
+        request = self._http_client.encode(
+            call, body, server.server_id, timeout_s
+        )
+        helper_id = self.helper_id(server)
+        send = (
+            self._send_relayed(request, server, helper_id)
+            if helper_id
+            else self._http_client.send_encoded(
+                request, server.address, server.server_id
+            )
+        )
+        async with send as response:
+            if not helper_id:
+                self._heard_at_s[server.address] = self._clock()
+            yield response
+
+    async def check(
+        self, server: discovery.Server, has_failed: bool = False
+    ) -> Verdict:
+        """Find the path to a server; checks of one server are shared.
+
+        Args:
+            server: the server.
+            has_failed: whether a connection to it has just failed.
 
         Returns:
             'direct'; 'relayed' if only another entry reaches the server;
             'unreachable' if others do not reach it either; 'unconfirmed' if
             no other entry could tell.
         """
-        connection, verdict = await asyncio.gather(
-            self._http_client.probe(server.address),
-            self._ask_peers(server.address),
+        task = self._checks.get(server.address)
+        if task is None:
+            task = asyncio.create_task(self._check(server, has_failed))
+            self._checks[server.address] = task
+            task.add_done_callback(
+                lambda _: self._checks.pop(server.address, None)
+            )
+        return await asyncio.shield(task)
+
+    async def _check(self, server, has_failed):
+        if not has_failed:
+            if await self._http_client.is_reachable(server.address):
+                self._regain(server.address)
+                return 'direct'
+        probe_task = asyncio.create_task(
+            self._http_client.probe(server.address)
         )
+        helper_id, is_confirmed = await self._find_helper(server.address)
+        if helper_id:
+            # The own probe may take long; whoever waits can go on.
+            self._lose(server, helper_id)
+            self._background.spawn(self._use_probe(server, probe_task))
+            return 'relayed'
+        if await probe_task == 'open':
+            self._regain(server.address)
+            return 'direct'
+        self._lost.pop(server.address, None)
+        if is_confirmed or not self._peers():
+            return 'unreachable'
+        return 'unconfirmed'
+
+    async def _use_probe(self, server, probe_task):
+        connection = await probe_task
+        path = self._lost.get(server.address)
         if connection == 'open':
-            verdict = 'direct'
+            self._regain(server.address)
+        elif path is not None:
+            path.is_refused = connection == 'refused'
+
+    async def _find_helper(self, address):
+        """Return a peer that reaches a server, and whether others told."""
+        is_confirmed = False
+        for names in self._peers_to_ask(address):
+            for reply_due in asyncio.as_completed(
+                [self._ask(name, address) for name in names]
+            ):
+                name, reply = await reply_due
+                if reply is not None and reply.is_reached:
+                    return name, True
+                if reply is not None and not reply.is_cut:
+                    is_confirmed = True
+        return '', is_confirmed
+
+    def _peers_to_ask(self, address):
+        """Return groups of peers, those that help already first."""
+        peers = self._peers()
+        known = {path.helper_id for path in self._lost.values()}
+        helpers = [name for name in peers if name in known]
+        others = [name for name in peers if name not in known]
+        self._generator.shuffle(others)
+        if address in self._lost:
+            helpers.sort(key=lambda n: n != self._lost[address].helper_id)
+        names = [*helpers, *others][:MAX_ASKED]
+        return [
+            names[start : start + ASKED_AT_ONCE]
+            for start in range(0, len(names), ASKED_AT_ONCE)
+        ]
+
+    async def _ask(self, name, address):
+        try:
+            reply = await self._links.request(
+                name, AskServer(address), ASK_TIMEOUT_S
+            )
+        except errors.LinkError:
+            return name, None
+        return name, reply if isinstance(reply, ServerSeen) else None
+
+    def _lose(self, server, helper_id):
+        is_first = not self._lost
+        path = self._lost.get(server.address)
+        if path is not None:
+            path.helper_id = helper_id
+            return
+        self._lost[server.address] = _LostPath(server, helper_id)
         decisions.record(
-            'server_path',
-            server=server.server_id,
-            connection=connection,
-            verdict=verdict,
+            'server_path_lost', server=server.server_id, helper=helper_id
         )
-        return verdict
+        if is_first:
+            self._background.spawn(self._check_others(server))
+        if not self._is_checking:
+            self._is_checking = True
+            self._background.spawn(self._check_until_regained())
 
-    async def _ask_peers(self, address):
-        names = self._peers()
-        self._generator.shuffle(names)
-        verdict = 'unconfirmed'
-        for name in names[:MAX_ASKED]:
-            try:
-                reply = await self._links.request(
-                    name, AskServer(address), ASK_TIMEOUT_S
+    def _regain(self, address):
+        path = self._lost.pop(address, None)
+        if path is not None:
+            decisions.record(
+                'server_path_regained', server=path.server.server_id
+            )
+
+    async def _check_others(self, server):
+        """Check the paths to the service's other servers before use."""
+        others = [s for s in self._ready(server.service) if s != server]
+        self._generator.shuffle(others)
+        others = others[:MAX_FIRST_CHECKS]
+        for start in range(0, len(others), CHECKS_AT_ONCE):
+            await asyncio.gather(
+                *map(self.check, others[start : start + CHECKS_AT_ONCE])
+            )
+
+    async def _check_until_regained(self):
+        """Check lost paths until there are none."""
+        try:
+            while self._lost:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                paths = list(self._lost.values())
+                self._generator.shuffle(paths)
+                is_open = await asyncio.gather(
+                    *(
+                        self._http_client.is_reachable(path.server.address)
+                        for path in paths[:CHECKS_AT_ONCE]
+                    )
                 )
-            except errors.LinkError:
-                continue
-            if reply.is_reached:
-                return 'relayed'
-            verdict = 'unreachable'
-        return verdict
+                for path, is_path_open in zip(paths, is_open, strict=False):
+                    if is_path_open:
+                        self._regain(path.server.address)
+                self._remove_departed()
+        finally:
+            self._is_checking = False
+
+    def _remove_departed(self):
+        for address, path in list(self._lost.items()):
+            if path.server not in self._ready(path.server.service):
+                del self._lost[address]
 
     async def _on_ask_server(self, _sender, message):
         yield ServerSeen(
-            await self._http_client.is_reachable(message.address), False
+            is_reached=await self._reaches(message.address),
+            is_cut=bool(self._lost),
+        )
+
+    async def _reaches(self, address):
+        if address in self._lost:
+            return False
+        heard_at_s = self._heard_at_s.get(address, -HEARD_S)
+        if self._clock() - heard_at_s < HEARD_S:
+            return True
+        return await self._http_client.is_reachable(address)
+
+    async def _on_relay_attempt(self, _sender, message):
+        request = exchange.EncodedRequest(
+            message.method, message.target, message.headers, message.body
+        )
+        self._counts['helped'] += 1
+        self.relaying += 1
+        try:
+            async with self._http_client.send_encoded(
+                request, message.address, message.server_id
+            ) as response:
+                yield RelayedHead(
+                    response.status,
+                    _plain(response.headers.items()),
+                    response.transfer.framing,
+                )
+                parts = 0
+                async for chunk in response.chunks():
+                    yield RelayedPart(parts, chunk)
+                    parts += 1
+                ended = RelayedEnd(parts, response.transfer.connection)
+            yield ended
+        except errors.BackendFailed as failure:
+            detail = str(failure).removeprefix(f'{failure.server}: ')
+            yield RelayFailed(failure.ran, detail, failure.crashed)
+        finally:
+            self.relaying -= 1
+
+    @contextlib.asynccontextmanager
+    async def _send_relayed(self, request, server, helper_id):
+        self._counts['relayed'] += 1
+        replies = self._links.stream(
+            helper_id,
+            RelayAttempt(
+                request.method,
+                request.target,
+                _plain(request.headers),
+                request.body,
+                server.address,
+                server.server_id,
+            ),
         )
+        async with contextlib.aclosing(replies):
+            try:
+                head = await self._next_reply(replies, server, helper_id)
+                if not isinstance(head, RelayedHead):
+                    raise errors.BackendFailed(
+                        server.server_id,
+                        'unknown',
+                        f'relayed by {helper_id}: the head was lost',
+                    )
+                transfer = http_connection.Transfer(head.framing)
+                headers = multidict.CIMultiDict(head.headers)
+                yield exchange.Response(
+                    head.status,
+                    headers,
+                    self._wire_format.decode_response(head.status, headers),
+                    transfer,
+                    self._parts(replies, server, helper_id, transfer),
+                )
+            except aiohttp.ClientError as error:
+                raise errors.BackendFailed(
+                    server.server_id, 'unknown', f'{error}'
+                ) from error
+
+    async def _parts(self, replies, server, helper_id, transfer):
+        """Yield the body; raise unless the helper says that it was whole."""
+        for number in itertools.count():
+            reply = await self._next_reply(replies, server, helper_id)
+            if isinstance(reply, RelayedEnd) and reply.parts == number:
+                transfer.connection = reply.connection
+                return
+            if not isinstance(reply, RelayedPart) or reply.number != number:
+                raise errors.BackendFailed(
+                    server.server_id,
+                    'unknown',
+                    f'relayed by {helper_id}: a part of the body was lost',
+                )
+            yield reply.data
+
+    async def _next_reply(self, replies, server, helper_id):
+        """Return the next reply.
+
+        Raises:
+            BackendFailed: the helper, or the server, failed.
+        """
+        try:
+            reply = await anext(replies)
+        except (errors.LinkError, StopAsyncIteration) as error:
+            self._drop_helper(server, helper_id)
+            raise errors.BackendFailed(
+                server.server_id, 'unknown', f'relayed by {helper_id}: {error}'
+            ) from error
+        if isinstance(reply, RelayFailed):
+            if reply.ran == 'no':
+                self._drop_helper(server, helper_id)
+            raise errors.BackendFailed(
+                server.server_id,
+                reply.ran,
+                f'relayed by {helper_id}: {reply.detail}',
+                reply.crashed,
+            )
+        return reply
+
+    def _drop_helper(self, server, helper_id):
+        """Forget a helper, so that the next attempt finds the path anew."""
+        path = self._lost.get(server.address)
+        if path is not None and path.helper_id == helper_id:
+            path.helper_id = ''
+
+
+def _plain(headers):
+    """Return headers whose names are of a type that messages can carry."""
+    return tuple((str(name), value) for name, value in headers)
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import types
 
 import aiohttp
 
@@ -19,7 +20,8 @@
     @contextlib.asynccontextmanager
     async def request(self, *_args, **_kwargs):
         if self._is_refused:
-            raise aiohttp.ClientConnectorError(None, ConnectionRefusedError())
+            key = types.SimpleNamespace(host='h', port=1, ssl=True)
+            raise aiohttp.ClientConnectorError(key, ConnectionRefusedError())
         await asyncio.sleep(CONNECT_TIMEOUT_S)
         raise aiohttp.ConnectionTimeoutError
         yield
@@ -66,5 +68,10 @@
                     statuses.append(status)
                     assert body.count(b'data:') in (0, 3)
             assert statuses.count(200) == len(statuses)
+            await deployment.wait_until(
+                lambda: (
+                    not entry.server_paths.gauges()['server_paths_lost'][1]()
+                )
+            )
 
     routed_site.run(tmp_path, scenario)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -536,11 +536,12 @@
     async def scenario(deployment):
         entries = [deployment.nodes[name] for name in ('entry-a', 'entry-b')]
 
-        async def is_reachable(_address):
-            return False
+        async def probe(_address):
+            return 'refused'
 
+        for entry in entries:
+            entry.http_client.probe = probe
         for number in range(3):
-            entries[0].http_client.is_reachable = is_reachable
             for server in deployment.servers.values():
                 server.switches.drop = 1
             assert (await deployment.post('/alerts/x', b'poison'))[0] == 502
