Report the crash of a server only if another entry confirms it

Three reports with one request have it refused everywhere as one that crashes servers.

Cause: as for the lost paths, an entry's own failure to connect was evidence of a crash.

Change: a crash is reported only if another entry, not cut itself, does not reach the server either, or if there is no other entry.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -354,8 +354,8 @@
 
     async def _check_crash(self, state, server):
         """Report a crash if a server died with a request in flight."""
-        verdict = await self._context.paths.check(server)
-        if verdict in ('direct', 'relayed'):
+        # A failure that no other entry confirms may be this entry's own.
+        if await self._context.paths.check(server) != 'unreachable':
             return
         # All requests that fail at one incarnation of a server count as one
         # crash, wherever they are reported.
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from balsamdale import errors
 from tests import routed_site
 
 CONNECT_TIMEOUT_S = 0.25
@@ -53,6 +54,21 @@
         del client.probe, client.is_reachable
 
 
+@contextlib.contextmanager
+def cut_from_peers(entry):
+    """Have all messages of an entry to other instances lost."""
+
+    async def request(peer_id, message, timeout_s=1.0):
+        await asyncio.sleep(min(timeout_s, 0.2))
+        raise errors.LinkTimeout(peer_id, type(message).__name__)
+
+    entry.links.request = request
+    try:
+        yield
+    finally:
+        del entry.links.request
+
+
 def test_entry_that_is_cut_from_all_servers_refuses_its_callers(tmp_path):
     async def scenario(deployment):
         entry = deployment.nodes['entry-a']
@@ -75,3 +91,23 @@
             )
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_cut_entry_reports_no_crashes_of_servers(tmp_path):
+    """Three such reports would have a sound request refused everywhere."""
+
+    async def scenario(deployment):
+        entry = deployment.nodes['entry-a']
+        for server in deployment.servers.values():
+            server.switches.delay_s = 30.0
+        for number in range(3):
+            request_task = asyncio.create_task(
+                deployment.post('/alerts/x', b'sound')
+            )
+            await asyncio.sleep(0.1)
+            with cut_from_servers(entry), cut_from_peers(entry):
+                assert (await request_task)[0] in (502, 504)
+                await asyncio.sleep(1.0)
+            assert not list(entry.quarantine.reports()), number
+
+    routed_site.run(tmp_path, scenario)
