Ask a server anew before saying that it is reached

What callers would see: the crash of a server is not confirmed by entries that it answered within the last half second, so requests that crash servers are not counted, and go on crashing them; attempts are sent through entries that do not reach the server either.

An entry that was asked took a recent answer of the server for a connection to it.

Change: it connects, each time.

Result: test_server_that_answered_a_moment_ago_is_asked_for_anew failed before ('relayed' instead of 'unreachable') and passes.

--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -86,7 +86,6 @@
             self.member_directory.entry_peers,
             platform_adapter.wire_format,
             self.directory.ready,
-            clocks.monotonic,
             random.Random(settings.instance_id),
         )
         self.quarantine = quarantine.Quarantine(QUARANTINE_CRASH_LIMIT)
--- a/balsamdale/server_paths.py
+++ b/balsamdale/server_paths.py
@@ -39,8 +39,6 @@
 CHECKS_AT_ONCE = 4
 # Paths that are checked when the first one is lost.
 MAX_FIRST_CHECKS = 64
-# Age of what a server last sent at which it still counts as reached.
-HEARD_S = 0.5
 
 Verdict = typing.Literal['direct', 'relayed', 'unreachable', 'unconfirmed']
 
@@ -162,7 +160,6 @@
         peers: returns the ids of the other entries, preferred ones first.
         wire_format: translation of header names.
         ready: returns the servers of a service.
-        clock: returns the present time in seconds.
         generator: source of the choice between peers.
 
     Attributes:
@@ -178,7 +175,6 @@
         ready: collections_abc.Callable[
             [str], collections_abc.Sequence[discovery.Server]
         ],
-        clock: collections_abc.Callable[[], float],
         generator: random.Random,
     ):
         self._http_client = http_client
@@ -186,10 +182,8 @@
         self._peers = peers
         self._wire_format = wire_format
         self._ready = ready
-        self._clock = clock
         self._generator = generator
         self._lost: dict[str, _LostPath] = {}
-        self._heard_at_s: dict[str, float] = {}
         self._checks: dict[str, asyncio.Task] = {}
         self._background = background.BackgroundTasks('paths')
         self._is_checking = False
@@ -259,8 +253,6 @@
             )
         )
         async with send as response:
-            if not helper_id:
-                self._heard_at_s[server.address] = self._clock()
             yield response
 
     async def check(
@@ -421,9 +413,6 @@
     async def _reaches(self, address):
         if address in self._lost:
             return False
-        heard_at_s = self._heard_at_s.get(address, -HEARD_S)
-        if self._clock() - heard_at_s < HEARD_S:
-            return True
         return await self._http_client.is_reachable(address)
 
     async def _on_relay_attempt(self, _sender, message):
--- a/tests/path_world.py
+++ b/tests/path_world.py
@@ -85,7 +85,6 @@
                 lambda name=name: [n for n in self.links if n != name],
                 headers.PlatformWireFormat(),
                 lambda _service: (SERVER, OTHER_SERVER),
-                lambda: asyncio.get_running_loop().time(),
                 random.Random(name),
             )
             for name in names
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -70,6 +70,18 @@
     run(scenario)
 
 
+def test_server_that_answered_a_moment_ago_is_asked_for_anew():
+    """A crash is confirmed at once, also by an entry with recent answers."""
+
+    async def scenario(world):
+        for name in 'bcd':
+            await world.send(name)
+        world.cut(*'abcd')
+        assert await world.paths['a'].check(SERVER, True) == 'unreachable'
+
+    run(scenario)
+
+
 def test_entry_without_peers_that_reply_cannot_tell():
     async def scenario(world):
         world.cut('a')
