--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -328,7 +328,9 @@
         earliest_end_s = loop.time() + STALE_REGISTRY_DRAIN_S
         deadline_s = loop.time() + self.settings.grace_s - CLOSE_RESERVE_S
         while loop.time() < deadline_s:
-            in_flight = self.handler.in_flight + self.server_paths.relaying
+            in_flight = (
+                self.handler.in_flight + self.server_paths.count_sending()
+            )
             if loop.time() > earliest_end_s and not in_flight:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/balsamdale/errors.py
+++ b/balsamdale/errors.py
@@ -11,6 +11,7 @@
     'CallerDisconnected',
     'CorruptRecord',
     'DataFolderMismatch',
+    'HelperFailed',
     'JournalError',
     'JournalGap',
     'KeyValueError',
@@ -22,6 +23,7 @@
     'NoSuchTurn',
     'NotOwner',
     'OutOfOrder',
+    'PathLost',
     'Refused',
     'RemoteError',
     'RevisionCompacted',
@@ -238,6 +240,13 @@
     """This instance lost its path to a server that others reach."""
 
 
+class HelperFailed(BackendFailed):
+    """The instance that sent a request for this one did not reply in order.
+
+    The server may have run the request.
+    """
+
+
 class CallerDisconnected(BalsamdaleError):
     """The caller closed its connection before its response was complete."""
 
--- /dev/null
+++ b/balsamdale/server_health.py
@@ -0,0 +1,164 @@
+"""Health of backend servers as an entry and its peers see it."""
+
+import asyncio
+from collections import abc as collections_abc
+import contextlib
+import itertools
+
+from balsamdale import background
+from balsamdale import decisions
+from balsamdale import discovery
+from balsamdale import errors
+from balsamdale import quarantine
+from balsamdale import request_state
+
+__all__ = ['ServerHealth']
+
+# Silence after which a server's reachability is checked: longer than the
+# pauses between events that are on time.
+SILENCE_BEFORE_CHECK_S = 0.3
+RECOVERY_CHECK_INTERVAL_S = 0.5
+# Checks of an unreachable server for each question to other entries.
+CHECKS_PER_QUESTION = 4
+# Longest time that a request waits to learn who reaches its server.
+FIND_PATH_TIMEOUT_S = 0.1
+
+
+class ServerHealth:
+    """Finds servers that are silent, unreachable or have crashed.
+
+    Args:
+        context: the parts of the instance that requests are served with.
+    """
+
+    def __init__(self, context: request_state.Context):
+        self._context = context
+        self._background = background.BackgroundTasks('health')
+
+    @contextlib.asynccontextmanager
+    async def stop_if_unreachable(
+        self, state: request_state.RequestState, server: discovery.Server
+    ) -> collections_abc.AsyncIterator[None]:
+        """Stop an attempt whose server is silent and unreachable.
+
+        A silent server may only be slow; one that does not accept a new
+        connection either will not respond on the existing one. Only other
+        entries can tell whether it is the server that has failed.
+
+        Raises:
+            BackendFailed: the attempt was stopped.
+        """
+        state.last_received_s = self._context.clock()
+        try:
+            async with asyncio.timeout(None) as scope:
+                watch_task = asyncio.create_task(
+                    self._watch_for_silence(state, server, scope)
+                )
+                try:
+                    yield
+                finally:
+                    watch_task.cancel()
+        except TimeoutError as error:
+            if not scope.expired():
+                raise
+            if self._context.paths.helper_id(server):
+                raise errors.PathLost(
+                    server.server_id, 'unknown', 'the path to it was lost'
+                ) from error
+            self.suspect(
+                server, state.call.request_id, 'silent and unreachable'
+            )
+            raise errors.BackendFailed(
+                server.server_id, 'unknown', 'silent and unreachable', True
+            ) from error
+
+    async def _watch_for_silence(self, state, server, scope):
+        wait_s = SILENCE_BEFORE_CHECK_S
+        while True:
+            await asyncio.sleep(wait_s)
+            silent_s = self._context.clock() - state.last_received_s
+            wait_s = SILENCE_BEFORE_CHECK_S - silent_s
+            if wait_s > 0:
+                continue
+            wait_s = SILENCE_BEFORE_CHECK_S
+            verdict = await self._context.paths.check(server)
+            if verdict == 'direct':
+                continue
+            # Open connections may live on while new ones are refused.
+            if verdict == 'relayed' and (
+                state.helper_id or self._context.paths.is_refused(server)
+            ):
+                continue
+            scope.reschedule(asyncio.get_running_loop().time())
+            return
+
+    def start_crash_check(
+        self, state: request_state.RequestState, server: discovery.Server
+    ) -> None:
+        """Find out whether a server died with a request in flight."""
+        self._background.spawn(self._check_crash(state, server))
+
+    async def _check_crash(self, state, server):
+        """Report a crash if a server died with a request in flight."""
+        # A failure that no other entry confirms may be this entry's own.
+        if await self._context.paths.check(server) != 'unreachable':
+            return
+        # All requests that fail at one incarnation of a server count as one
+        # crash, wherever they are reported.
+        crash_id = f'{server.server_id}@{server.started_ms}'
+        report = quarantine.ReportCrash(
+            crash_id, request_state.digest(state.call)
+        )
+        self._context.quarantine.report(report.digest, crash_id)
+        self._context.report_crash(report)
+        decisions.record(
+            'server_crashed',
+            id=state.call.request_id,
+            server=server.server_id,
+            digest=report.digest,
+        )
+
+    async def finds_path(self, server: discovery.Server) -> bool:
+        """Return whether another entry reaches a server that failed.
+
+        The request does not wait long for it: other servers may do.
+        """
+        check = self._context.paths.check(server, has_failed=True)
+        try:
+            async with asyncio.timeout(FIND_PATH_TIMEOUT_S):
+                return await check == 'relayed'
+        except TimeoutError:
+            return False
+
+    def suspect(
+        self, server: discovery.Server, request_id: str, reason: str
+    ) -> None:
+        """Mark a server as suspected until it accepts connections again."""
+        if self._context.balancer.mark_suspected(server.server_id):
+            decisions.record(
+                'server_unreachable',
+                id=request_id,
+                server=server.server_id,
+                reason=reason,
+            )
+            if self._context.slots is not None:
+                self._context.slots.record_reachable(server, False)
+            self._background.spawn(self._check_recovery(server))
+
+    async def _check_recovery(self, server):
+        """Check a server until it recovers or is no longer registered."""
+        context = self._context
+        for check_number in itertools.count(1):
+            await asyncio.sleep(RECOVERY_CHECK_INTERVAL_S)
+            if server not in context.directory.ready(server.service):
+                break
+            if await context.http_client.is_reachable(server.address):
+                break
+            if check_number % CHECKS_PER_QUESTION == 0:
+                await self.finds_path(server)
+            if context.paths.helper_id(server):
+                break
+        context.balancer.mark_healthy(server.server_id)
+        if context.slots is not None:
+            context.slots.record_reachable(server, True)
+        decisions.record('server_recovered', server=server.server_id)
--- a/balsamdale/server_paths.py
+++ b/balsamdale/server_paths.py
@@ -9,25 +9,21 @@
 from collections import abc as collections_abc
 import contextlib
 import dataclasses
-import itertools
 import random
 import typing
 
-import aiohttp
-import multidict
-
+from balsamdale import attempt_relay
 from balsamdale import background
 from balsamdale import codec
 from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import errors
 from balsamdale import exchange
-from balsamdale import http_connection
 from balsamdale import link
 from balsamdale import metrics
 from balsamdale import wire
 
-__all__ = ['AskServer', 'RelayAttempt', 'ServerPaths', 'ServerSeen']
+__all__ = ['AskServer', 'ServerPaths', 'ServerSeen', 'Verdict']
 
 # Time for a peer's reply: one connection to the server, and the way.
 ASK_TIMEOUT_S = 0.4
@@ -68,74 +64,6 @@
     is_cut: bool
 
 
-@codec.message
-class RelayAttempt:
-    """Asks a peer to send a request to a server.
-
-    The replies are `RelayedHead`, any number of `RelayedPart`, and
-    `RelayedEnd`; or `RelayFailed` at any point.
-
-    Attributes:
-        method: HTTP method.
-        target: path and query.
-        headers: all headers.
-        body: the whole body.
-        address: IP address and port of the server.
-        server_id: the server that must run the request.
-    """
-
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    address: str
-    server_id: str
-
-
-@codec.message
-class RelayedHead:
-    """Status and headers of a server's response."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    framing: str
-
-
-@codec.message
-class RelayedPart:
-    """Bytes of the body as they arrived.
-
-    Attributes:
-        number: 0 for the first part, and so on; links may lose messages.
-        data: the bytes.
-    """
-
-    number: int
-    data: bytes
-
-
-@codec.message
-class RelayedEnd:
-    """The body was whole.
-
-    Attributes:
-        parts: number of its parts.
-        connection: one of `http_connection.CONNECTION_STATES`.
-    """
-
-    parts: int
-    connection: str
-
-
-@codec.message
-class RelayFailed:
-    """The attempt failed; see `errors.BackendFailed`."""
-
-    ran: str
-    detail: str
-    crashed: bool
-
-
 @dataclasses.dataclass
 class _LostPath:
     """A server that this entry does not reach.
@@ -161,9 +89,6 @@
         wire_format: translation of header names.
         ready: returns the servers of a service.
         generator: source of the choice between peers.
-
-    Attributes:
-        relaying: requests of other entries that are being sent for them.
     """
 
     def __init__(
@@ -180,17 +105,16 @@
         self._http_client = http_client
         self._links = links
         self._peers = peers
-        self._wire_format = wire_format
         self._ready = ready
         self._generator = generator
         self._lost: dict[str, _LostPath] = {}
         self._checks: dict[str, asyncio.Task] = {}
         self._background = background.BackgroundTasks('paths')
         self._is_checking = False
-        self.relaying = 0
-        self._counts = dict.fromkeys(('relayed', 'helped'), 0)
+        self._relay = attempt_relay.AttemptRelay(
+            http_client, links, wire_format
+        )
         links.serve(AskServer, self._on_ask_server)
-        links.serve(RelayAttempt, self._on_relay_attempt)
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
         """Return the gauges by name."""
@@ -201,17 +125,23 @@
             ),
             'attempts_relayed': (
                 'Attempts that other entries sent for this one',
-                lambda: self._counts['relayed'],
+                lambda: self._relay.sent_by_others,
             ),
             'attempts_helped': (
                 'Attempts that were sent for other entries',
-                lambda: self._counts['helped'],
+                lambda: self._relay.sent_for_others,
             ),
         }
 
+    def count_sending(self) -> int:
+        """Return the requests that are being sent for other entries."""
+        return self._relay.sending
+
     def close(self) -> None:
         """Cancel checks that are under way."""
         self._background.cancel()
+        for task in self._checks.values():
+            task.cancel()
 
     def helper_id(self, server: discovery.Server) -> str:
         """Return the entry that reaches a server for this one, if any."""
@@ -241,19 +171,26 @@
         Raises:
             BackendFailed: the response is missing or incomplete.
         """
+        helper_id = self.helper_id(server)
+        if not helper_id:
+            async with self._http_client.send(
+                call, body, server.address, server.server_id, timeout_s
+            ) as response:
+                yield response
+            return
         request = self._http_client.encode(
             call, body, server.server_id, timeout_s
         )
-        helper_id = self.helper_id(server)
-        send = (
-            self._send_relayed(request, server, helper_id)
-            if helper_id
-            else self._http_client.send_encoded(
-                request, server.address, server.server_id
-            )
-        )
-        async with send as response:
-            yield response
+        try:
+            async with self._relay.send(
+                request, server, helper_id
+            ) as response:
+                yield response
+        except errors.BackendFailed as failure:
+            is_helper_to_blame = isinstance(failure, errors.HelperFailed)
+            if is_helper_to_blame or failure.ran == 'no':
+                self._drop_helper(server, helper_id)
+            raise
 
     async def check(
         self, server: discovery.Server, has_failed: bool = False
@@ -411,120 +348,12 @@
         )
 
     async def _reaches(self, address):
-        if address in self._lost:
-            return False
-        return await self._http_client.is_reachable(address)
-
-    async def _on_relay_attempt(self, _sender, message):
-        request = exchange.EncodedRequest(
-            message.method, message.target, message.headers, message.body
+        return address not in self._lost and (
+            await self._http_client.is_reachable(address)
         )
-        self._counts['helped'] += 1
-        self.relaying += 1
-        try:
-            async with self._http_client.send_encoded(
-                request, message.address, message.server_id
-            ) as response:
-                yield RelayedHead(
-                    response.status,
-                    _plain(response.headers.items()),
-                    response.transfer.framing,
-                )
-                parts = 0
-                async for chunk in response.chunks():
-                    yield RelayedPart(parts, chunk)
-                    parts += 1
-                ended = RelayedEnd(parts, response.transfer.connection)
-            yield ended
-        except errors.BackendFailed as failure:
-            detail = str(failure).removeprefix(f'{failure.server}: ')
-            yield RelayFailed(failure.ran, detail, failure.crashed)
-        finally:
-            self.relaying -= 1
-
-    @contextlib.asynccontextmanager
-    async def _send_relayed(self, request, server, helper_id):
-        self._counts['relayed'] += 1
-        replies = self._links.stream(
-            helper_id,
-            RelayAttempt(
-                request.method,
-                request.target,
-                _plain(request.headers),
-                request.body,
-                server.address,
-                server.server_id,
-            ),
-        )
-        async with contextlib.aclosing(replies):
-            try:
-                head = await self._next_reply(replies, server, helper_id)
-                if not isinstance(head, RelayedHead):
-                    raise errors.BackendFailed(
-                        server.server_id,
-                        'unknown',
-                        f'relayed by {helper_id}: the head was lost',
-                    )
-                transfer = http_connection.Transfer(head.framing)
-                headers = multidict.CIMultiDict(head.headers)
-                yield exchange.Response(
-                    head.status,
-                    headers,
-                    self._wire_format.decode_response(head.status, headers),
-                    transfer,
-                    self._parts(replies, server, helper_id, transfer),
-                )
-            except aiohttp.ClientError as error:
-                raise errors.BackendFailed(
-                    server.server_id, 'unknown', f'{error}'
-                ) from error
-
-    async def _parts(self, replies, server, helper_id, transfer):
-        """Yield the body; raise unless the helper says that it was whole."""
-        for number in itertools.count():
-            reply = await self._next_reply(replies, server, helper_id)
-            if isinstance(reply, RelayedEnd) and reply.parts == number:
-                transfer.connection = reply.connection
-                return
-            if not isinstance(reply, RelayedPart) or reply.number != number:
-                raise errors.BackendFailed(
-                    server.server_id,
-                    'unknown',
-                    f'relayed by {helper_id}: a part of the body was lost',
-                )
-            yield reply.data
-
-    async def _next_reply(self, replies, server, helper_id):
-        """Return the next reply.
-
-        Raises:
-            BackendFailed: the helper, or the server, failed.
-        """
-        try:
-            reply = await anext(replies)
-        except (errors.LinkError, StopAsyncIteration) as error:
-            self._drop_helper(server, helper_id)
-            raise errors.BackendFailed(
-                server.server_id, 'unknown', f'relayed by {helper_id}: {error}'
-            ) from error
-        if isinstance(reply, RelayFailed):
-            if reply.ran == 'no':
-                self._drop_helper(server, helper_id)
-            raise errors.BackendFailed(
-                server.server_id,
-                reply.ran,
-                f'relayed by {helper_id}: {reply.detail}',
-                reply.crashed,
-            )
-        return reply
 
     def _drop_helper(self, server, helper_id):
         """Forget a helper, so that the next attempt finds the path anew."""
         path = self._lost.get(server.address)
         if path is not None and path.helper_id == helper_id:
             path.helper_id = ''
-
-
-def _plain(headers):
-    """Return headers whose names are of a type that messages can carry."""
-    return tuple((str(name), value) for name, value in headers)
--- a/tests/path_world.py
+++ b/tests/path_world.py
@@ -37,6 +37,10 @@
     def encode(self, call, body, server_id, timeout_s):
         return exchange.EncodedRequest(call.method, call.target, (), body)
 
+    def send(self, call, body, address, server_id, timeout_s):
+        request = self.encode(call, body, server_id, timeout_s)
+        return self.send_encoded(request, address, server_id)
+
     @contextlib.asynccontextmanager
     async def send_encoded(self, request, address, server_id):
         if await self.probe(address) != 'open':
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -212,8 +212,8 @@
             path_world.builders.call(), b'', SERVER, 1.0
         ) as response:
             await anext(response.chunks())
-            assert world.paths[helper_id].relaying == 1
+            assert world.paths[helper_id].count_sending() == 1
         await asyncio.sleep(0.1)
-        assert world.paths[helper_id].relaying == 0
+        assert world.paths[helper_id].count_sending() == 0
 
     run(scenario)
