Ask all peers at once, and do not wait for them at the first failure

Peers were asked in groups of four, each of which waits 0.25 s for a dead server; a request waited for them whenever it could not connect, although one such failure is more likely the server's.

A request waits for the path only if it has failed to connect before, if other paths are lost, or if there is no other server; else the server is suspected at once, and the question goes on in the background.

--- a/balsamdale/attempt_relay.py
+++ b/balsamdale/attempt_relay.py
@@ -97,6 +97,7 @@
         wire_format: translation of header names.
 
     Attributes:
+        is_leaving: whether no further attempts are sent for others.
         sending: attempts of other entries that are under way here.
         sent_for_others: such attempts so far.
         sent_by_others: attempts of this entry that others have sent.
@@ -111,6 +112,7 @@
         self._http_client = http_client
         self._links = links
         self._wire_format = wire_format
+        self.is_leaving = False
         self.sending = 0
         self.sent_for_others = 0
         self.sent_by_others = 0
@@ -154,6 +156,9 @@
             )
 
     async def _on_relay_attempt(self, _sender, message):
+        if self.is_leaving:
+            yield RelayFailed('no', 'the helper is leaving', True)
+            return
         request = exchange.EncodedRequest(
             message.method, message.target, message.headers, message.body
         )
--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -252,18 +252,32 @@
         except errors.BackendFailed as failure:
             if failure.ran == 'no':
                 self._context.limits.give_back(server)
-                if await self._health.finds_path(server):
-                    excluded.discard(server.server_id)
-                else:
-                    self._health.suspect(
-                        server, state.call.request_id, str(failure)
-                    )
+                await self._handle_unreached(
+                    state, server, excluded, str(failure)
+                )
                 return False
             state.delivered_attempts += 1
             state.may_have_run = True
             self._health.start_crash_check(state, server)
             return self._retry_or_refuse(state, failure)
 
+    async def _handle_unreached(self, state, server, excluded, reason):
+        """Find another path to a server, or suspect it.
+
+        One failure is more likely the server's own, and other servers may
+        do; a request does not wait then.
+        """
+        state.unreached += 1
+        may_be_cut = (
+            state.unreached > 1
+            or self._context.paths.is_any_lost
+            or self.choose(state, excluded) is None
+        )
+        if may_be_cut and await self._health.finds_path(server):
+            excluded.discard(server.server_id)
+        else:
+            self._health.suspect(server, state.call.request_id, reason)
+
     async def _send(self, state, server, body, timeout_s, deliver):
         """Send a request; return whether the server ran it to the end."""
         state.helper_id = self._context.paths.helper_id(server)
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -324,6 +324,7 @@
     async def leave(self) -> None:
         self.listener.is_leaving = True
         await super().leave()
+        self.server_paths.leave()
         loop = asyncio.get_running_loop()
         earliest_end_s = loop.time() + STALE_REGISTRY_DRAIN_S
         deadline_s = loop.time() + self.settings.grace_s - CLOSE_RESERVE_S
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -199,6 +199,7 @@
         delivered_attempts: attempts that reached, or may have reached, the
             chosen server.
         may_have_run: whether an attempt has an unknown outcome.
+        unreached: attempts whose connection failed.
         attempts: all attempts, including those that reached no server.
         server_id: server of the latest attempt.
         status: HTTP status of the server's response; 0 without one.
@@ -233,6 +234,7 @@
     deadline_s: float
     delivered_attempts: int = 0
     may_have_run: bool = False
+    unreached: int = 0
     attempts: int = 0
     server_id: str = ''
     status: int = 0
--- a/balsamdale/server_health.py
+++ b/balsamdale/server_health.py
@@ -121,7 +121,7 @@
     async def finds_path(self, server: discovery.Server) -> bool:
         """Return whether another entry reaches a server that failed.
 
-        The request does not wait long for it: other servers may do.
+        A request waits only a short while for it.
         """
         check = self._context.paths.check(server, has_failed=True)
         try:
@@ -148,16 +148,16 @@
     async def _check_recovery(self, server):
         """Check a server until it recovers or is no longer registered."""
         context = self._context
-        for check_number in itertools.count(1):
+        for check_number in itertools.count():
+            if check_number % CHECKS_PER_QUESTION == 0:
+                await context.paths.check(server, has_failed=True)
+            if context.paths.helper_id(server):
+                break
             await asyncio.sleep(RECOVERY_CHECK_INTERVAL_S)
             if server not in context.directory.ready(server.service):
                 break
             if await context.http_client.is_reachable(server.address):
                 break
-            if check_number % CHECKS_PER_QUESTION == 0:
-                await self.finds_path(server)
-            if context.paths.helper_id(server):
-                break
         context.balancer.mark_healthy(server.server_id)
         if context.slots is not None:
             context.slots.record_reachable(server, True)
--- a/balsamdale/server_paths.py
+++ b/balsamdale/server_paths.py
@@ -27,8 +27,7 @@
 
 # Time for a peer's reply: one connection to the server, and the way.
 ASK_TIMEOUT_S = 0.4
-# Peers that are asked at once, and in all.
-ASKED_AT_ONCE = 4
+# Peers that are asked, beside those that help already.
 MAX_ASKED = 12
 # Interval between checks whether a lost path is back, and paths per check.
 CHECK_INTERVAL_S = 0.5
@@ -133,6 +132,15 @@
             ),
         }
 
+    @property
+    def is_any_lost(self) -> bool:
+        """Whether there are servers that only other entries reach."""
+        return bool(self._lost)
+
+    def leave(self) -> None:
+        """Send no further requests for other entries."""
+        self._relay.is_leaving = True
+
     def count_sending(self) -> int:
         """Return the requests that are being sent for other entries."""
         return self._relay.sending
@@ -266,13 +274,7 @@
         helpers = [name for name in peers if name in known]
         others = [name for name in peers if name not in known]
         self._generator.shuffle(others)
-        if address in self._lost:
-            helpers.sort(key=lambda n: n != self._lost[address].helper_id)
-        names = [*helpers, *others][:MAX_ASKED]
-        return [
-            names[start : start + ASKED_AT_ONCE]
-            for start in range(0, len(names), ASKED_AT_ONCE)
-        ]
+        return [helpers[:MAX_ASKED], others[:MAX_ASKED]]
 
     async def _ask(self, name, address):
         try:
@@ -344,13 +346,13 @@
     async def _on_ask_server(self, _sender, message):
         yield ServerSeen(
             is_reached=await self._reaches(message.address),
-            is_cut=bool(self._lost),
+            is_cut=self.is_any_lost or self._relay.is_leaving,
         )
 
     async def _reaches(self, address):
-        return address not in self._lost and (
-            await self._http_client.is_reachable(address)
-        )
+        if address in self._lost or self._relay.is_leaving:
+            return False
+        return await self._http_client.is_reachable(address)
 
     def _drop_helper(self, server, helper_id):
         """Forget a helper, so that the next attempt finds the path anew."""
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -187,6 +187,24 @@
     run(scenario)
 
 
+def test_helper_that_leaves_ends_what_it_sends_and_takes_no_more():
+    async def scenario(world):
+        world.cut('a')
+        await world.paths['a'].check(SERVER)
+        helper_id = world.paths['a'].helper_id(SERVER)
+        sent = asyncio.create_task(world.send('a'))
+        await asyncio.sleep(0.005)
+        world.paths[helper_id].leave()
+        assert await sent == WHOLE
+        with pytest.raises(errors.BackendFailed) as raised:
+            await world.send('a')
+        assert raised.value.ran == 'no'
+        assert await world.paths['a'].check(SERVER, True) == 'relayed'
+        assert world.paths['a'].helper_id(SERVER) not in ('', helper_id)
+
+    run(scenario)
+
+
 def test_helper_that_dies_may_have_sent_the_request():
     async def scenario(world):
         world.cut('a')
