Take units that come back out of the window at the time they were lent

What callers' servers would see: with units of 2 s that come back late while later ones are kept and then used at once, 79 requests in 4 s at a server that names 10 a second (allowed: 65).

Units that came back were taken out of the window of lent units among the newest, that is, in place of units that were kept.

Change: entries tell the age of the oldest unit that they give back; the window is reduced by what was lent until then.

--- a/balsamdale/limit_client.py
+++ b/balsamdale/limit_client.py
@@ -189,8 +189,9 @@
         """Give back the unit of a request that did not reach its server."""
         if self.rate_per_s(server) is not None:
             state = self._state(server.service)
-            expires_at_s = self._clock() + server_limits.UNIT_LIFETIME_S
-            state.stock.add(_key(server), 1, expires_at_s)
+            now_s = self._clock()
+            expires_at_s = now_s + server_limits.UNIT_LIFETIME_S
+            state.stock.add(_key(server), 1, now_s, expires_at_s)
 
     async def wait(self, service: str, max_wait_s: float) -> bool:
         """Wait until units of a service are lent.
@@ -315,7 +316,7 @@
         message = limit_service.LendServerUnits(
             service,
             tuple(
-                limit_service.to_message(key, named, unused.get(key, 0), now_s)
+                _to_message(key, named, unused.get(key), now_s)
                 for key, named in state.table.items()
             ),
             min(wanted, limit_service.MAX_UNITS),
@@ -363,7 +364,7 @@
             # By the time of the message, so that news that came meanwhile
             # count as newer.
             self._use_news(state, limit, asked_at_s)
-            state.stock.add(limit.key, limit.units, expires_at_s)
+            state.stock.add(limit.key, limit.units, asked_at_s, expires_at_s)
             units += limit.units
         self._counts['units'] += units
         has_unlimited = any(limit.rate_per_s is None for limit in reply.limits)
@@ -375,3 +376,11 @@
 
 def _key(server):
     return server.server_id, server.started_ms
+
+
+def _to_message(key, named, unused, now_s):
+    if unused is None:
+        return limit_service.to_message(key, named, now_s)
+    return limit_service.to_message(
+        key, named, now_s, unused.units, unused.lent_at_s
+    )
--- a/balsamdale/limit_service.py
+++ b/balsamdale/limit_service.py
@@ -49,13 +49,15 @@
         age_s: time since it said so.
         units: in a request, units that were lent and not used; in a reply,
             units that are lent.
+        units_age_s: in a request, time since the oldest of them was lent.
     """
 
     server_id: str
     started_ms: int
     rate_per_s: float | None
     age_s: float
-    units: int
+    units: int = 0
+    units_age_s: float = 0.0
 
     @property
     def key(self) -> server_limits.ServerKey:
@@ -69,6 +71,7 @@
             and (self.rate_per_s is None or 0 <= self.rate_per_s < math.inf)
             and 0 <= self.age_s < math.inf
             and 0 <= self.units <= MAX_UNITS
+            and 0 <= self.units_age_s < math.inf
         )
 
 
@@ -122,12 +125,18 @@
 def to_message(
     key: server_limits.ServerKey,
     named: server_limits.NamedLimit,
-    units: int,
     now_s: float,
+    units: int = 0,
+    units_lent_at_s: float = math.inf,
 ) -> ServerLimit:
     """Return what is known of a server's limit as part of a message."""
-    age_s = max(0.0, now_s - named.said_at_s)
-    return ServerLimit(*key, named.rate_per_s, age_s, units)
+    return ServerLimit(
+        *key,
+        named.rate_per_s,
+        max(0.0, now_s - named.said_at_s),
+        units,
+        max(0.0, now_s - units_lent_at_s),
+    )
 
 
 def to_named_limit(
@@ -208,7 +217,8 @@
         for limit in message.limits:
             named = to_named_limit(limit, now_s)
             is_changed |= lender.record(limit.key, named, now_s)
-            lender.give_back(limit.key, limit.units, now_s)
+            lent_until_s = now_s - limit.units_age_s
+            lender.give_back(limit.key, limit.units, lent_until_s, now_s)
         if is_changed and message.service not in self._announcing:
             self._announcing.add(message.service)
             self._background.spawn(self._announce(message.service))
@@ -218,7 +228,7 @@
 
     def _limits(self, lender, lent, now_s):
         return tuple(
-            to_message(key, named, lent.get(key, 0), now_s)
+            to_message(key, named, now_s, lent.get(key, 0))
             for key, named in lender.items()
         )
 
--- a/balsamdale/scheduling/server_limits.py
+++ b/balsamdale/scheduling/server_limits.py
@@ -12,7 +12,14 @@
 from balsamdale.scheduling import quota_units
 from balsamdale.scheduling import quota_window
 
-__all__ = ['Lender', 'LimitTable', 'NamedLimit', 'ServerKey', 'UnitStock']
+__all__ = [
+    'ExpiredUnits',
+    'Lender',
+    'LimitTable',
+    'NamedLimit',
+    'ServerKey',
+    'UnitStock',
+]
 
 # Id of a server and its start: one that starts again names its limit anew.
 ServerKey = tuple[str, int]
@@ -148,9 +155,9 @@
         self._tokens.add(-units, now_s)
         self._lent.add(units, now_s)
 
-    def give_back(self, units, now_s):
+    def give_back(self, units, lent_until_s, now_s):
         self._tokens.add(units, now_s)
-        self._lent.remove(units, now_s - UNIT_LIFETIME_S)
+        self._lent.remove(units, lent_until_s)
 
 
 class Lender:
@@ -207,10 +214,19 @@
             self._buckets[key].lend(units, now_s)
         return lent
 
-    def give_back(self, key: ServerKey, units: int, now_s: float) -> None:
-        """Take back units that an entry has not used."""
+    def give_back(
+        self, key: ServerKey, units: int, lent_until_s: float, now_s: float
+    ) -> None:
+        """Take back units that an entry has not used.
+
+        Args:
+            key: the server.
+            units: number of units.
+            lent_until_s: time at which the oldest of them was lent.
+            now_s: the present time.
+        """
         if key in self._buckets:
-            self._buckets[key].give_back(units, now_s)
+            self._buckets[key].give_back(units, lent_until_s, now_s)
 
     def remove_old(self, now_s: float) -> None:
         """Remove limits that no entry has named for a long time."""
@@ -218,45 +234,64 @@
             self._buckets.pop(key, None)
 
 
+@dataclasses.dataclass(frozen=True)
+class ExpiredUnits:
+    """Units of one server that an entry gives back.
+
+    Attributes:
+        units: number of units.
+        lent_at_s: time at which the oldest of them was lent.
+    """
+
+    units: int
+    lent_at_s: float
+
+
 class UnitStock:
     """The units of one entry, which expire if they are not used."""
 
     def __init__(self):
-        self._expiries_s: dict[ServerKey, collections.deque[float]] = {}
-        self._expired: collections.Counter[ServerKey] = collections.Counter()
+        # Times of expiry and of lending, in order of the latter.
+        self._units: dict[ServerKey, collections.deque] = {}
+        self._expired: dict[ServerKey, ExpiredUnits] = {}
 
-    def add(self, key: ServerKey, units: int, expires_at_s: float) -> None:
-        """Add units, which expire at the given time."""
-        expiries_s = self._expiries_s.setdefault(key, collections.deque())
-        expiries_s.extend([expires_at_s] * units)
+    def add(
+        self, key: ServerKey, units: int, lent_at_s: float, expires_at_s: float
+    ) -> None:
+        """Add units."""
+        held = self._units.setdefault(key, collections.deque())
+        held.extend([(expires_at_s, lent_at_s)] * units)
 
     def has(self, key: ServerKey, now_s: float) -> bool:
         """Return whether there is a unit of a server."""
-        expiries_s = self._expiries_s.get(key)
-        while expiries_s and expiries_s[0] <= now_s:
-            expiries_s.popleft()
-            self._expired[key] += 1
-        return bool(expiries_s)
+        held = self._units.get(key)
+        while held and held[0][0] <= now_s:
+            _, lent_at_s = held.popleft()
+            known = self._expired.get(key, ExpiredUnits(0, lent_at_s))
+            self._expired[key] = ExpiredUnits(
+                known.units + 1, min(known.lent_at_s, lent_at_s)
+            )
+        return bool(held)
 
     def take(self, key: ServerKey, now_s: float) -> bool:
         """Use the unit that expires next; return whether there was one."""
         if not self.has(key, now_s):
             return False
-        self._expiries_s[key].popleft()
+        self._units[key].popleft()
         return True
 
     def count(self, now_s: float) -> int:
         """Return the units of all servers."""
         return sum(
-            len(expiries_s)
-            for key, expiries_s in self._expiries_s.items()
+            len(held)
+            for key, held in self._units.items()
             if self.has(key, now_s)
         )
 
-    def pop_expired(self, now_s: float) -> dict[ServerKey, int]:
+    def pop_expired(self, now_s: float) -> dict[ServerKey, ExpiredUnits]:
         """Return the units that have expired, to give them back."""
-        for key in self._expiries_s:
+        for key in self._units:
             self.has(key, now_s)
-        self._expiries_s = {k: v for k, v in self._expiries_s.items() if v}
-        expired, self._expired = dict(self._expired), collections.Counter()
+        self._units = {key: held for key, held in self._units.items() if held}
+        expired, self._expired = self._expired, {}
         return expired
--- a/tests/test_limit_client.py
+++ b/tests/test_limit_client.py
@@ -1,6 +1,7 @@
 """Tests of limits that a fleet of entries keeps together, on virtual time."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -161,3 +162,50 @@
         assert reply.limits == ()
 
     virtual.run(scenario())
+
+
+async def disturb(world, generator, end_s):
+    """Restart entries, lose lenders and links, and change limits."""
+    while world.now_s() < end_s:
+        await asyncio.sleep(generator.uniform(0.5, 3.0))
+        kind = generator.choice(('restart', 'lender', 'links', 'limit'))
+        if kind == 'restart':
+            for name in generator.sample(list(world.entries), 2):
+                world.restart(name)
+        elif kind == 'lender' and len(world.lenders) > 1:
+            world.lenders.remove(generator.choice(world.lenders))
+        elif kind == 'links':
+            lender = generator.choice(world.lenders)
+            for name in generator.sample(list(world.entries), 3):
+                world.network.cuts |= {(name, lender), (lender, name)}
+            await asyncio.sleep(generator.uniform(0.5, 2.0))
+            world.network.cuts.clear()
+        elif kind == 'limit':
+            name = generator.choice(list(world.limits_per_s))
+            world.limits_per_s[name] *= generator.choice((1.0, 1.5, 2.0))
+
+
+def test_limits_hold_in_random_days(seeds, is_long):
+    """Disturbances follow each other and overlap; limits only rise."""
+
+    async def scenario():
+        entry_count = generator.choice((3, 9, 30))
+        limits_per_s = {
+            f's{n}': generator.uniform(0.5, 12.0) for n in range(4)
+        }
+        world = limit_world.LimitWorld(
+            entry_count, limits_per_s, ('d0', 'd1', 'd2', 'd3'), seed
+        )
+        start_s = world.now_s() + SETTLE_S
+        disturbing = asyncio.create_task(
+            disturb(world, generator, start_s + 15.0)
+        )
+        while world.now_s() < start_s + 17.0:
+            rate_per_s = generator.choice((5.0, 40.0, 200.0))
+            await world.load(generator.uniform(0.5, 3.0), rate_per_s)
+        await disturbing
+        assert_limits_hold(world, start_s)
+
+    for seed in range(seeds if is_long else 5):
+        generator = random.Random(seed)
+        virtual.run(scenario())
