Keep a server that goes on while it is being checked

What callers saw: a stream of a server that was silent for 0.3 s and takes no new connections is broken off half a second later, also if it went on meanwhile.

Cause: the check of a silent server takes up to 0.6 s, and its verdict was used whatever had arrived since.

Change: a server that has sent something within 0.3 s is not given up.

Result: test_server_that_goes_on_while_it_is_checked_is_not_given_up failed before (the stream was broken off) and passes.

--- a/balsamdale/server_health.py
+++ b/balsamdale/server_health.py
@@ -82,7 +82,7 @@
                 continue
             wait_s = SILENCE_BEFORE_CHECK_S
             verdict = await self._context.paths.check(server)
-            if verdict == 'direct':
+            if verdict == 'direct' or self._is_heard(state):
                 continue
             # Open connections may live on while new ones are refused.
             if verdict == 'relayed' and (
@@ -92,6 +92,11 @@
             scope.reschedule(asyncio.get_running_loop().time())
             return
 
+    def _is_heard(self, state):
+        """Return whether a server has sent something a moment ago."""
+        silent_s = self._context.clock() - state.last_received_s
+        return silent_s < SILENCE_BEFORE_CHECK_S
+
     def start_crash_check(
         self, state: request_state.RequestState, server: discovery.Server
     ) -> None:
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -111,3 +111,24 @@
             assert not list(entry.quarantine.reports()), number
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_server_that_goes_on_while_it_is_checked_is_not_given_up(tmp_path):
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.delay_s = 0.5
+            server.switches.events = 20
+            server.switches.event_gap_s = 0.1
+        with contextlib.ExitStack() as stack:
+            for name in ('entry-a', 'entry-b'):
+                entry = deployment.nodes[name]
+                session = entry.http_client._get_session()
+                stack.enter_context(cut_from_servers(entry))
+                entry.http_client._session = session
+            status, body, _ = await deployment.post_turn(
+                't1', **{'X-Token-Usage': '100,500'}
+            )
+            assert status == 200
+            assert body.count(b'data:') == 20
+
+    routed_site.run(tmp_path, scenario)
