Send direct attempts without another layer

An attempt that is sent directly uses the client's context manager itself. No behaviour changes: tests of paths, cut entries, nodes and workspaces pass.

--- a/balsamdale/server_paths.py
+++ b/balsamdale/server_paths.py
@@ -164,14 +164,13 @@
         path = self._lost.get(server.address)
         return path is not None and path.is_refused
 
-    @contextlib.asynccontextmanager
-    async def send(
+    def send(
         self,
         call: wire.Call,
         body: bytes,
         server: discovery.Server,
         timeout_s: float,
-    ) -> collections_abc.AsyncIterator[exchange.Response]:
+    ) -> contextlib.AbstractAsyncContextManager[exchange.Response]:
         """Send one request by the path that works; yield its response.
 
         See `exchange.HttpClient.send`.
@@ -180,12 +179,14 @@
             BackendFailed: the response is missing or incomplete.
         """
         helper_id = self.helper_id(server)
-        if not helper_id:
-            async with self._http_client.send(
-                call, body, server.address, server.server_id, timeout_s
-            ) as response:
-                yield response
-            return
+        if helper_id:
+            return self._send_relayed(call, body, server, timeout_s, helper_id)
+        return self._http_client.send(
+            call, body, server.address, server.server_id, timeout_s
+        )
+
+    @contextlib.asynccontextmanager
+    async def _send_relayed(self, call, body, server, timeout_s, helper_id):
         request = self._http_client.encode(
             call, body, server.server_id, timeout_s
         )
