--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -63,7 +63,8 @@
         """Return the server for a request, or None if all are full."""
         now_s = self._context.clock()
         servers = self._context.directory.ready(state.service.name)
-        excluded = excluded | self._context.limits.withheld(servers)
+        if withheld := self._context.limits.withheld(servers):
+            excluded = excluded | withheld
         balancer = self._context.balancer
         if not balancer.compares_finish(servers):
             return balancer.choose(servers, state.affinity, excluded, now_s)
