Keep a lost path when its server registers anew

Departed servers were recognised by their whole registration.

Change: by their id.

Result: test_path_stays_lost_when_its_server_registers_anew failed before and passes.

--- a/balsamdale/server_paths.py
+++ b/balsamdale/server_paths.py
@@ -257,7 +257,7 @@
     async def _find_helper(self, address):
         """Return a peer that reaches a server, and whether others told."""
         is_confirmed = False
-        for names in self._peers_to_ask(address):
+        for names in self._peers_to_ask():
             for reply_due in asyncio.as_completed(
                 [self._ask(name, address) for name in names]
             ):
@@ -268,7 +268,7 @@
                     is_confirmed = True
         return '', is_confirmed
 
-    def _peers_to_ask(self, address):
+    def _peers_to_ask(self):
         """Return groups of peers, those that help already first."""
         peers = self._peers()
         known = {path.helper_id for path in self._lost.values()}
@@ -341,7 +341,8 @@
 
     def _remove_departed(self):
         for address, path in list(self._lost.items()):
-            if path.server not in self._ready(path.server.service):
+            ready = self._ready(path.server.service)
+            if path.server.server_id not in {s.server_id for s in ready}:
                 del self._lost[address]
 
     async def _on_ask_server(self, _sender, message):
--- a/tests/path_world.py
+++ b/tests/path_world.py
@@ -80,6 +80,7 @@
 
     def __init__(self, names='abcd'):
         self.network = link.MemoryNetwork()
+        self.servers = (SERVER, OTHER_SERVER)
         self.links = {n: link.MemoryLinks(n, self.network) for n in names}
         self.clients = {name: ScriptedClient() for name in names}
         self.paths = {
@@ -88,7 +89,7 @@
                 self.links[name],
                 lambda name=name: [n for n in self.links if n != name],
                 headers.PlatformWireFormat(),
-                lambda _service: (SERVER, OTHER_SERVER),
+                lambda _service: self.servers,
                 random.Random(name),
             )
             for name in names
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -1,6 +1,7 @@
 """Tests of paths to servers that only some entries reach."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -46,6 +47,23 @@
     run(scenario)
 
 
+def test_path_stays_lost_when_its_server_registers_anew():
+    """Servers write their registration again and again as they warm up."""
+
+    async def scenario(world):
+        world.cut('a')
+        await world.paths['a'].check(SERVER)
+        renewed = dataclasses.replace(SERVER, warm_up_s=1.0)
+        world.servers = (renewed, path_world.OTHER_SERVER)
+        await asyncio.sleep(2 * server_paths.CHECK_INTERVAL_S)
+        assert world.paths['a'].helper_id(renewed)
+        world.servers = (path_world.OTHER_SERVER,)
+        await asyncio.sleep(2 * server_paths.CHECK_INTERVAL_S)
+        assert not world.paths['a'].helper_id(SERVER)
+
+    run(scenario)
+
+
 def test_path_that_is_back_is_used_again():
     async def scenario(world):
         world.cut('a')
