--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -26,6 +26,19 @@
     virtual.run(main())
 
 
+async def lose_path(world):
+    """Cut entry 'a' from the servers; return its helper."""
+    world.cut('a')
+    await world.paths['a'].check(SERVER)
+    return world.paths['a'].helper_id(SERVER)
+
+
+async def check_replaced(world, helper_id):
+    """Check that entry 'a' finds another helper."""
+    assert await world.paths['a'].check(SERVER, True) == 'relayed'
+    assert world.paths['a'].helper_id(SERVER) not in ('', helper_id)
+
+
 def test_cut_entry_sends_through_one_that_is_not_cut():
     async def scenario(world):
         world.cut('a', 'b', 'c')
@@ -150,9 +163,7 @@
 @pytest.mark.parametrize('parts', [[], [b'id: 1\n']])
 def test_body_that_breaks_at_the_helper_is_not_whole(parts):
     async def scenario(world):
-        world.cut('a')
-        await world.paths['a'].check(SERVER)
-        helper_id = world.paths['a'].helper_id(SERVER)
+        helper_id = await lose_path(world)
         world.clients[helper_id].parts = [
             *parts,
             errors.BackendFailed('i-1', 'unknown', 'reset'),
@@ -191,15 +202,12 @@
 
 def test_helper_that_lost_the_server_as_well_has_not_run_the_request():
     async def scenario(world):
-        world.cut('a')
-        await world.paths['a'].check(SERVER)
-        helper_id = world.paths['a'].helper_id(SERVER)
+        helper_id = await lose_path(world)
         world.cut(helper_id)
         with pytest.raises(errors.BackendFailed) as raised:
             await world.send('a')
         assert raised.value.ran == 'no'
-        assert await world.paths['a'].check(SERVER, True) == 'relayed'
-        assert world.paths['a'].helper_id(SERVER) not in ('', helper_id)
+        await check_replaced(world, helper_id)
         assert await world.send('a') == WHOLE
 
     run(scenario)
@@ -207,9 +215,7 @@
 
 def test_helper_that_leaves_ends_what_it_sends_and_takes_no_more():
     async def scenario(world):
-        world.cut('a')
-        await world.paths['a'].check(SERVER)
-        helper_id = world.paths['a'].helper_id(SERVER)
+        helper_id = await lose_path(world)
         sent = asyncio.create_task(world.send('a'))
         await asyncio.sleep(0.005)
         world.paths[helper_id].leave()
@@ -217,17 +223,14 @@
         with pytest.raises(errors.BackendFailed) as raised:
             await world.send('a')
         assert raised.value.ran == 'no'
-        assert await world.paths['a'].check(SERVER, True) == 'relayed'
-        assert world.paths['a'].helper_id(SERVER) not in ('', helper_id)
+        await check_replaced(world, helper_id)
 
     run(scenario)
 
 
 def test_helper_that_dies_may_have_sent_the_request():
     async def scenario(world):
-        world.cut('a')
-        await world.paths['a'].check(SERVER)
-        helper_id = world.paths['a'].helper_id(SERVER)
+        helper_id = await lose_path(world)
         world.network.cuts |= {('a', helper_id), (helper_id, 'a')}
         with pytest.raises(errors.BackendFailed) as raised:
             await world.send('a')
@@ -240,9 +243,7 @@
 
 def test_caller_that_leaves_ends_the_attempt_at_the_helper():
     async def scenario(world):
-        world.cut('a')
-        await world.paths['a'].check(SERVER)
-        helper_id = world.paths['a'].helper_id(SERVER)
+        helper_id = await lose_path(world)
         world.clients[helper_id].parts = [b'x'] * 1000
         async with world.paths['a'].send(
             path_world.builders.call(), b'', SERVER, 1.0
