Close an idle connection on which a response arrives

A server that sends a second copy of an answer, late, sends it when its connection is idle again. aiohttp queues it, and hands it to the next request on that connection: the next caller gets an answer that is not its own. Routed requests were safe, as servers repeat the request's id. Calls to the key-value service and the product's own requests to engines and tools have no such id and were not.

Shown by test_late_second_copy_is_not_the_answer_to_the_next_request, which failed before: each request got the answer to the one before it. Now what arrives on an idle connection ends it, so that it is not used again. A copy that arrives while the next request is already under way cannot be told from its answer without an id; docs/proofs.md says so.

--- a/balsamdale/http_connection.py
+++ b/balsamdale/http_connection.py
@@ -66,11 +66,19 @@
     _unused_bytes = 0
     # The body whose bytes are used; None while a head is awaited.
     _body = None
+    _is_awaiting_response = False
+
+    def set_response_params(self, **options):
+        """Prepare for the response to a request that is about to be sent."""
+        self._is_awaiting_response = True
+        super().set_response_params(**options)
 
     async def read(self):
         """Return the next message, which may be an interim response."""
         self._body = None
+        self._is_awaiting_response = True
         message, payload = await super().read()
+        self._is_awaiting_response = message.code < 200
         self.transfer = Transfer(_framing(message), self._state)
         return message, payload
 
@@ -89,6 +97,14 @@
         self._unused_bytes += len(data)
         if self._unused_bytes > MAX_UNUSED_BYTES:
             self._reject('more than can be part of a response')
+        elif self._is_idle() and self._buffer:
+            # It would be taken for the response to the next request.
+            self._reject('a response that no request has asked for')
+
+    def _is_idle(self):
+        """Return whether no request waits for a response or its body."""
+        is_body_read = self._payload is None or self._payload.is_eof()
+        return is_body_read and not self._is_awaiting_response
 
     def _reject(self, reason):
         """End the connection; whoever waits for a response or body fails."""
