End streams that make no progress, however many bytes they send

An engine that has stalled and sends a comment now and then kept its stream of the product's own programs open without end: the time-out of a read starts again with each byte. A silent one was given up after 120 s. Now the time since the last chunk counts, with the same bound. Routed streams were not concerned: their route's time-out ends them.

test_stalled_stream_that_sends_comments_ends did not end before; test_slow_stream_that_makes_progress_is_not_cut guards the other side.

--- a/balsamdale/backend.py
+++ b/balsamdale/backend.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import asyncio
 import codecs
 from collections import abc as collections_abc
 import contextlib
@@ -30,6 +31,9 @@
 CONNECT_TIMEOUT_S = 1.0
 STREAM_READ_TIMEOUT_S = 2.0
 MAX_RESUMES_WITHOUT_PROGRESS = 60
+# Time without a chunk after which a stream is given up, however many other
+# bytes arrive: as long as one that is silent.
+STALL_TIMEOUT_S = STREAM_READ_TIMEOUT_S * MAX_RESUMES_WITHOUT_PROGRESS
 CONTROL_TIMEOUT_S = 1.5
 # What a call raises if its result is missing, cut or not text.
 RESULT_ERRORS = (aiohttp.ClientError, TimeoutError, UnicodeDecodeError)
@@ -322,12 +326,14 @@
         self._tool_calls: dict[int, records.ToolCall] = {}
         self._usage: _Usage | None = None
         self._received_bytes = 0
+        self._progressed_at_s = asyncio.get_running_loop().time()
         self.chunk_count = 0
 
     async def read(self, response):
         async for line in http_connection.read_lines(response):
             self._received_bytes += len(line)
             self._check_size()
+            self._check_progress()
             if not line.startswith(DATA_FIELD):
                 continue
             data = line.removeprefix(DATA_FIELD).strip()
@@ -335,6 +341,7 @@
                 return
             chunk = self._decode_chunk(data)
             self.chunk_count += 1
+            self._progressed_at_s = asyncio.get_running_loop().time()
             text = self._add_chunk(chunk)
             if text:
                 yield TextDelta(text)
@@ -363,6 +370,17 @@
                 self._server, 'unknown', 'the stream is too long'
             )
 
+    def _check_progress(self):
+        """Give up a stream that has sent no chunk for too long.
+
+        Comments that keep its connection open are no progress.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._progressed_at_s > STALL_TIMEOUT_S:
+            raise errors.BackendFailed(
+                self._server, 'unknown', 'the stream makes no progress'
+            )
+
     def _decode_chunk(self, data):
         try:
             return msgspec.json.decode(data, type=_Chunk)
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -1,6 +1,7 @@
 """Tests of programs' requests on servers whose responses are faulty."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -23,6 +24,8 @@
     'data: {"choices": [], "usage": {"prompt_tokens": 1,'
     ' "completion_tokens": 2}}\n\n'
 )
+CHUNK = 'data: {"choices": [{"delta": {"content": "x"}}]}\n\n'
+DONE = 'data: [DONE]\n\n'
 UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n'
 TOOL = program.CallTool(
     call_id='c',
@@ -155,3 +158,63 @@
             await stub.disconnected.wait()
 
     run(scenario)
+
+
+async def serve_slowly(parts, interval_s, writer):
+    """Send a stream part by part; the last part is repeated."""
+    writer.write(
+        b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+        b'Connection: close\r\n\r\n'
+    )
+    try:
+        for part in itertools.chain(parts, itertools.repeat(parts[-1])):
+            writer.write(part.encode())
+            await writer.drain()
+            if DONE in part:
+                break
+            await asyncio.sleep(interval_s)
+    except ConnectionError:
+        pass
+    writer.close()
+
+
+async def complete_slowly(backends, parts, interval_s):
+    """Return the text of a model call to an engine that sends slowly."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        await serve_slowly(parts, interval_s, writer)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    engine = declaration.BackendServer(
+        name='s',
+        service='engines',
+        address=f'{host}:{port}',
+        failure_domain='a',
+    )
+    async with server:
+        answer = backends.complete(engine, 'm', ENGINE_CALL, 'q1', 'p')
+        return [part async for part in answer][-1].text
+
+
+@pytest.fixture
+def short_stall(monkeypatch):
+    monkeypatch.setattr(backend, 'STALL_TIMEOUT_S', 0.3)
+
+
+def test_stalled_stream_that_sends_comments_ends(short_stall):
+    async def scenario(backends):
+        with pytest.raises(errors.BackendFailed) as raised:
+            await complete_slowly(backends, [CHUNK, ': alive\n\n'], 0.02)
+        assert raised.value.ran == 'unknown'
+
+    run(scenario)
+
+
+def test_slow_stream_that_makes_progress_is_not_cut(short_stall):
+    async def scenario(backends):
+        parts = [CHUNK] * 6 + [USAGE, DONE]
+        assert await complete_slowly(backends, parts, 0.1) == 'x' * 6
+
+    run(scenario)
