Remove the allocation of slots

Change: the allocators, their messages, the queue, the setting slot_allocation and their tests are gone; settings that still have it are refused with its name. The balancer loses what only they set. No build sends a message of it by default, so a mixed fleet works as before. The tests of slots are removed with what they tested; the part of test_outcomes that checked what allocators were told is gone likewise.

Checked: 838 tests passed, 6 of test_outcomes failed on the mock of the removed part and pass now.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -5,7 +5,6 @@
 """
 
 from collections import abc as collections_abc
-import contextlib
 import dataclasses
 
 from balsamdale import api_keys
@@ -113,11 +112,6 @@
         state.limit_wait_s += context.clock() - now_s
         return has_units
 
-    def uses_slots(self, state: request_state.RequestState) -> bool:
-        """Return whether the attempts of a request need slots."""
-        slots = self._context.slots
-        return slots is not None and slots.is_used(state.service.name)
-
     def capacity_refusal(
         self, state: request_state.RequestState
     ) -> errors.Refused:
@@ -153,46 +147,28 @@
                 or not self._is_within_budget(state)
             ):
                 raise self._no_server_refusal(state)
-            async with contextlib.AsyncExitStack() as stack:
-                choice = await self._acquire(state, excluded, stack)
-                if choice is None:
-                    raise self._no_server_refusal(state)
-                # The configuration may have changed while it waited.
-                self._check_key(state)
-                timeout_s = state.deadline_s - self._context.clock()
-                if timeout_s < MIN_ATTEMPT_TIME_S:
-                    raise TimeoutError
-                if not self._context.limits.take(choice.server):
-                    continue
-                state.attempts += 1
-                excluded.add(choice.server.server_id)
-                state.load = choice.load
-                state.report_age_s = choice.report_age_s
-                state.chosen_by = choice.factor
-                state.server_limit_per_s = self._context.limits.rate_per_s(
-                    choice.server
-                )
-                if await self._attempt(
-                    state, choice.server, excluded, body, timeout_s, deliver
-                ):
-                    return
-
-    async def _acquire(self, state, excluded, stack):
-        """Return the server of an attempt, whose slot the stack frees.
-
-        Raises:
-            Refused: no slot is free in time.
-        """
-        if not self.uses_slots(state):
-            return await self.choose_in_time(state, excluded)
-        try:
-            return await stack.enter_async_context(
-                self._context.slots.acquire(state, excluded, self.choose)
+            choice = await self.choose_in_time(state, excluded)
+            if choice is None:
+                raise self._no_server_refusal(state)
+            # The configuration may have changed while it waited.
+            self._check_key(state)
+            timeout_s = state.deadline_s - self._context.clock()
+            if timeout_s < MIN_ATTEMPT_TIME_S:
+                raise TimeoutError
+            if not self._context.limits.take(choice.server):
+                continue
+            state.attempts += 1
+            excluded.add(choice.server.server_id)
+            state.load = choice.load
+            state.report_age_s = choice.report_age_s
+            state.chosen_by = choice.factor
+            state.server_limit_per_s = self._context.limits.rate_per_s(
+                choice.server
             )
-        except errors.Refused as refused:
-            if state.may_have_run:
-                raise self._no_server_refusal(state) from refused
-            raise
+            if await self._attempt(
+                state, choice.server, excluded, body, timeout_s, deliver
+            ):
+                return
 
     def _is_within_budget(self, state):
         """Count an attempt; return whether the retry budget allows it.
@@ -324,8 +300,6 @@
             context.balancer.record_load(
                 server.server_id, metadata.load, context.clock()
             )
-            if context.slots is not None:
-                context.slots.record_load(server, metadata.load)
         if metadata.is_load_malformed:
             count = context.balancer.ignore_report(server.server_id)
             # Logged when the count doubles: a faulty server repeats its
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -5,9 +5,6 @@
 import random
 
 from balsamdale import adapter
-from balsamdale import allocation
-from balsamdale import allocation_service
-from balsamdale import allocators
 from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import errors
@@ -46,8 +43,6 @@
 QUARANTINE_CRASH_LIMIT = 3
 # Histogram buckets, around the latency objectives.
 LATENCY_BOUNDS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0)
-# Histogram buckets of waits for slots, from one message to deadlines.
-WAIT_BOUNDS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 
 
 class EntryNode(node.Node):
@@ -112,12 +107,6 @@
             is_standby=True,
         )
         self.links.serve(discovery.ReportLeaving, self._on_leaving)
-        found_allocators = allocators.Allocators(
-            self.member_directory,
-            self.directory,
-            settings.failure_domain,
-            clocks.monotonic,
-        )
         self.limit_client = limit_client.LimitClient(
             self.links,
             self.relay,
@@ -131,30 +120,6 @@
             lambda: [m.instance_id for m in self.member_directory.entries()],
             clocks.monotonic,
         )
-        started_ms = int(clocks.wall() * 1000)
-        self.slot_service = allocation_service.SlotService(
-            self.links,
-            found_allocators,
-            clocks.monotonic,
-            started_ms,
-            lambda: self.member_directory.is_leaving,
-            platform_adapter.has_scarce_servers(settings),
-        )
-        self.slot_client = allocation.SlotClient(
-            self.links,
-            found_allocators,
-            self.directory,
-            settings.slot_allocation,
-            platform_adapter.has_scarce_servers(settings),
-            self.balancer,
-            clocks.monotonic,
-            started_ms,
-            self.metrics.add_histogram(
-                'balsamdale_slot_wait_seconds',
-                'Time that an attempt waited for a slot',
-                WAIT_BOUNDS_S,
-            ),
-        )
         self.handler = serving.RequestHandler(
             request_state.Context(
                 table=lambda: self.table,
@@ -177,7 +142,6 @@
                 quota=self.quota_client,
                 limits=self.limit_client,
                 paths=self.server_paths,
-                slots=self.slot_client,
             )
         )
         self.listener = listener.Listener(
@@ -214,8 +178,6 @@
         )
         self._background.spawn(self._run_expiry())
         self._background.spawn(self.quota_service.run())
-        if self.settings.slot_allocation != 'off':
-            self._background.spawn(self.slot_client.run())
         await super().start()
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
@@ -226,7 +188,6 @@
             **self.limit_client.gauges(),
             **self.limit_service.gauges(),
             **self.server_paths.gauges(),
-            **self._slot_gauges(),
             **self._response_gauges(),
             'requests_in_flight': (
                 'Requests of callers',
@@ -250,10 +211,7 @@
             ),
             'servers_ejected': (
                 'Servers ejected for their failures',
-                lambda: (
-                    self.balancer.outliers.count_ejected()
-                    + self.slot_service.ejected
-                ),
+                self.balancer.outliers.count_ejected,
             ),
             'retries_withheld': (
                 'Retries that the retry budget did not allow',
@@ -296,31 +254,6 @@
             for connection in http_connection.CONNECTION_STATES
         }
 
-    def _slot_gauges(self):
-        """Return the gauges of slots, asked for and allocated here."""
-        client, service = self.slot_client, self.slot_service
-        asked = {
-            f'slots_asked_{kind}': (
-                f'Attempts of this entry: {kind}',
-                functools.partial(client.counts.__getitem__, kind),
-            )
-            for kind in client.counts
-        }
-        decided = {
-            f'slots_decided_{kind}': (
-                f'Decisions of the allocators here: {kind}',
-                functools.partial(service.counts.__getitem__, kind),
-            )
-            for kind in service.counts
-        }
-        waiting = {
-            'slots_waiting': (
-                'Requests that wait for slots of the allocators here',
-                lambda: service.waiting,
-            )
-        }
-        return {**asked, **decided, **waiting}
-
     async def leave(self) -> None:
         self.listener.is_leaving = True
         await super().leave()
@@ -344,8 +277,6 @@
         self.server_paths.close()
         await self._stop_platform_endpoints()
         await self.http_client.close()
-        self.slot_client.close()
-        self.slot_service.close()
         await super().close()
 
     def is_ready(self) -> bool:
--- a/balsamdale/node_settings.py
+++ b/balsamdale/node_settings.py
@@ -35,10 +35,6 @@
         account_retention_s: how long the token account of a program is kept
             after the program's deadline and the retention of its turns.
         metrics_address: IP address and port for metrics; empty for none.
-        slot_allocation: whether entries ask allocators for slots: 'on' for
-            each attempt, 'off' for none, 'auto' while few slots are free, at
-            services whose servers report a slowdown, or at all services if
-            `contracts` say that servers may be short of room; entries only.
         contracts: names of the platform's rules that are in force.
         memory_limit_mb: memory at which the process is killed, in millions of
             bytes; 0 for no limit. Entries bound what requests hold by it.
@@ -63,7 +59,6 @@
     registry_keep_s: float = 2.0
     account_retention_s: float = 120.0
     metrics_address: str = ''
-    slot_allocation: typing.Literal['auto', 'on', 'off'] = 'off'
     contracts: tuple[str, ...] = ()
     memory_limit_mb: float = 0
     quota_window_s: float = 5.0
--- a/balsamdale/outcomes.py
+++ b/balsamdale/outcomes.py
@@ -77,12 +77,11 @@
     finally:
         context.balancer.remove_request(server.server_id, tokens)
         if kind and context.directory.is_current(server):
-            outcome = _outcome(kind, context, state, attempt)
             context.balancer.record_outcome(
-                server.server_id, outcome, context.clock()
+                server.server_id,
+                _outcome(kind, context, state, attempt),
+                context.clock(),
             )
-            if context.slots is not None:
-                context.slots.record_outcome(server, outcome)
 
 
 def _is_timed_out(context, state, attempt):
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -2,7 +2,6 @@
 
 import abc
 from collections import abc as collections_abc
-import contextlib
 import dataclasses
 import hashlib
 
@@ -21,12 +20,10 @@
 from balsamdale import wire
 
 __all__ = [
-    'Choose',
     'Context',
     'RecordIds',
     'RequestState',
     'Responder',
-    'SlotSource',
     'digest',
     'record_ids',
 ]
@@ -75,55 +72,6 @@
         """Close the connection, so that the response is seen as cut short."""
 
 
-class SlotSource(abc.ABC):
-    """Provides each attempt with a slot of a backend server."""
-
-    @abc.abstractmethod
-    def is_used(self, service: str) -> bool:
-        """Return whether requests of a service need a slot."""
-
-    @abc.abstractmethod
-    def prepare(self, service: str) -> None:
-        """Learn the load of a service that a request will need soon."""
-
-    @abc.abstractmethod
-    def acquire(
-        self,
-        state: 'RequestState',
-        excluded: collections_abc.Set[str],
-        choose: 'Choose',
-    ) -> contextlib.AbstractAsyncContextManager[balance.Choice]:
-        """Hold a slot for an attempt; it is freed at the end.
-
-        Args:
-            state: the request.
-            excluded: ids of servers that must not be chosen.
-            choose: chooses by this entry's own view, for use while no
-                allocator replies.
-
-        Raises:
-            Refused: there is none in time; the attempt must not be made.
-        """
-
-    @abc.abstractmethod
-    def record_load(
-        self, server: discovery.Server, load: wire.LoadReport
-    ) -> None:
-        """Record the load that a server reported."""
-
-    @abc.abstractmethod
-    def record_outcome(
-        self, server: discovery.Server, outcome: balance.Outcome
-    ) -> None:
-        """Record how an attempt at a server ended."""
-
-    @abc.abstractmethod
-    def record_reachable(
-        self, server: discovery.Server, is_reachable: bool
-    ) -> None:
-        """Record that a server accepts no connections, or does again."""
-
-
 @dataclasses.dataclass(frozen=True)
 class Context:
     """The parts of an instance that requests are served with.
@@ -147,7 +95,6 @@
         quota: acquires units of the quotas of workspaces.
         limits: the limits that servers name.
         paths: paths to backend servers.
-        slots: provides attempts with slots; None if no service needs them.
     """
 
     table: collections_abc.Callable[[], routes.RouteTable | None]
@@ -166,7 +113,6 @@
     quota: quota.QuotaClient
     limits: limit_client.LimitClient
     paths: server_paths.ServerPaths
-    slots: SlotSource | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -219,10 +165,7 @@
         workspace: the workspace of the caller's key; None without one.
         record_ids: ids of its stored turn and account.
         holds_unit: whether it holds a unit of its workspace's quota.
-        waited_s: time that its attempts have waited for slots.
         limit_wait_s: time that its attempts have waited for limited servers.
-        allocator: instance that allocated the latest slot; empty if none
-            did.
     """
 
     call: wire.Call
@@ -253,9 +196,7 @@
     workspace: routes.Workspace | None = None
     record_ids: RecordIds = RecordIds('', '', '')
     holds_unit: bool = False
-    waited_s: float = 0.0
     limit_wait_s: float = 0.0
-    allocator: str = ''
 
     @property
     def affinity(self) -> str:
@@ -302,9 +243,6 @@
             fields['workspace'] = self.workspace.name
         if self.limit_wait_s:
             fields['limit_wait_s'] = round(self.limit_wait_s, 4)
-        if self.waited_s:
-            fields['waited_s'] = round(self.waited_s, 4)
-            fields['allocator'] = self.allocator
         return fields
 
     @property
@@ -315,11 +253,6 @@
         return self.workspace.priority
 
 
-Choose = collections_abc.Callable[
-    [RequestState, collections_abc.Set[str]], balance.Choice | None
-]
-
-
 def record_ids(
     call: wire.Call,
     table: routes.RouteTable,
--- a/balsamdale/scheduling/balance.py
+++ b/balsamdale/scheduling/balance.py
@@ -212,11 +212,6 @@
         state.in_flight -= 1
         state.held_tokens -= tokens
 
-    def set_held(self, server_id: str, requests: int, tokens: int) -> None:
-        """Set the requests and tokens that several instances hold there."""
-        state = self._state(server_id)
-        state.in_flight, state.held_tokens = requests, tokens
-
     def record_outcome(
         self, server_id: str, outcome: Outcome, now_s: float
     ) -> None:
@@ -251,21 +246,6 @@
         if load.has_slowdown:
             self._speeds.record_slowdown(server_id, load.slowdown)
 
-    def record_known_load(
-        self, server_id: str, load: float, own_requests: int, now_s: float
-    ) -> None:
-        """Record a server's load as another instance knows it.
-
-        Args:
-            server_id: id of the server.
-            load: requests there.
-            own_requests: those of this instance that `load` includes.
-            now_s: the present time.
-        """
-        state = self._state(server_id)
-        state.known_load, state.known_at_s = load, now_s
-        state.own_requests_at_known = own_requests
-
     def ignore_report(self, server_id: str) -> int:
         """Count a load report that is malformed or out of range.
 
--- a/balsamdale/server_health.py
+++ b/balsamdale/server_health.py
@@ -146,8 +146,6 @@
                 server=server.server_id,
                 reason=reason,
             )
-            if self._context.slots is not None:
-                self._context.slots.record_reachable(server, False)
             self._background.spawn(self._check_recovery(server))
 
     async def _check_recovery(self, server):
@@ -164,6 +162,4 @@
             if await context.http_client.is_reachable(server.address):
                 break
         context.balancer.mark_healthy(server.server_id)
-        if context.slots is not None:
-            context.slots.record_reachable(server, True)
         decisions.record('server_recovered', server=server.server_id)
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -149,8 +149,6 @@
             self._context.quota.give_back(state.workspace.name)
 
     async def _run(self, state):
-        if self._context.slots is not None:
-            self._context.slots.prepare(state.service.name)
         await self._acquire_unit(state)
         is_budgeted = state.route.is_stream and state.call.budget_tokens
         if state.route.stores_turns or is_budgeted:
@@ -278,12 +276,7 @@
         self._cache.add((turn,))
 
     async def _check_capacity(self, state):
-        """Refuse a turn if all servers are full, before reserving tokens.
-
-        Where slots are allocated, only the allocator knows.
-        """
-        if self.attempts.uses_slots(state):
-            return
+        """Refuse a turn if all servers are full, before reserving tokens."""
         choice = await self.attempts.choose_in_time(state, frozenset())
         if choice is None:
             raise self.attempts.capacity_refusal(state)
--- a/tests/scheduling/test_finish_time.py
+++ b/tests/scheduling/test_finish_time.py
@@ -61,9 +61,11 @@
     learn(balancer, 'v', 0.8)
     choice = choose(balancer, servers, tokens=100)
     assert (choice.server.server_id, choice.factor) == ('u', 'run')
-    balancer.set_held('u', 4, 0)
+    for _ in range(4):
+        balancer.add_request('u')
     assert chosen_id(balancer, servers, tokens=100) == 'w'
-    balancer.set_held('u', 0, 0)
+    for _ in range(4):
+        balancer.remove_request('u')
     # The bound of a learned speed; 0.6 is the median.
     learn(balancer, 'u', 0.001, count=200)
     learn(balancer, 'u', float('nan'))
@@ -114,7 +116,7 @@
     fits = {'tokens': 40, 'memory_tokens': 100}
     assert choose(balancer, servers, **fits) is not None
     assert choose(balancer, servers, tokens=41, memory_tokens=100) is None
-    balancer.set_held('x', 1, 61)
+    balancer.add_request('x', 1)
     assert choose(balancer, servers, **fits) is None
 
 
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -44,12 +44,9 @@
     assert lines['role'] == 4
 
 
-def test_slot_allocation_is_one_of_three_words(tmp_path):
-    assert load(tmp_path, ENTRY).slot_allocation == 'off'
-    settings = load(tmp_path, ENTRY + 'slot_allocation = "on"\n')
-    assert settings.slot_allocation == 'on'
+def test_setting_that_no_longer_exists_is_named(tmp_path):
     with pytest.raises(errors.ValidationFailed, match='slot_allocation'):
-        load(tmp_path, ENTRY + 'slot_allocation = "maybe"\n')
+        load(tmp_path, ENTRY + 'slot_allocation = "on"\n')
 
 
 @pytest.mark.parametrize(
@@ -100,7 +97,7 @@
     assert keys <= known
 
 
-def test_contracts_decide_whether_slots_are_allocated(tmp_path):
+def test_contracts_tell_whether_servers_are_scarce(tmp_path):
     platform = adapter.PlatformAdapter()
     plain = load(tmp_path, ENTRY + 'contracts = ["base", "quota"]\n')
     scarce = load(tmp_path, ENTRY + 'contracts = ["base", "pressure"]\n')
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -34,11 +34,10 @@
 def test_server_is_blamed_only_for_what_it_did(
     error, status, took_s, caller_wait_s, recorded
 ):
-    now_s, balancer, slots = [0.0], mock.Mock(), mock.Mock()
+    now_s, balancer = [0.0], mock.Mock()
     context = types.SimpleNamespace(
         clock=lambda: now_s[0],
         balancer=balancer,
-        slots=slots,
         directory=types.SimpleNamespace(is_current=lambda server: True),
     )
     state = types.SimpleNamespace(
@@ -59,5 +58,3 @@
     balancer.remove_request.assert_called_once_with('x', 100)
     found = [c.args[1] for c in balancer.record_outcome.call_args_list]
     assert [(o.kind, o.took_s) for o in found] == recorded
-    told = [c.args[1] for c in slots.record_outcome.call_args_list]
-    assert told == found
