Let nothing from before a pause of the process be acted on

An entry that was frozen likewise gave a request that its caller had sent before the pause the whole time of its route.

Found by reading what is done with permissions; units of limits and quotas and leases already end by the clock of the one that holds them.

--- a/balsamdale/attempt_relay.py
+++ b/balsamdale/attempt_relay.py
@@ -95,6 +95,8 @@
         http_client: sends requests to servers.
         links: connections to peers.
         wire_format: translation of header names.
+        paused_s: returns the length of a pause of this process that has just
+            ended, or 0.
 
     Attributes:
         is_leaving: whether no further attempts are sent for others.
@@ -108,10 +110,12 @@
         http_client: exchange.HttpClient,
         links: link.Links,
         wire_format: wire.WireFormat,
+        paused_s: collections_abc.Callable[[], float],
     ):
         self._http_client = http_client
         self._links = links
         self._wire_format = wire_format
+        self._paused_s = paused_s
         self.is_leaving = False
         self.sending = 0
         self.sent_for_others = 0
@@ -159,6 +163,11 @@
         if self.is_leaving:
             yield RelayFailed('no', 'the helper is leaving', True)
             return
+        if self._paused_s():
+            # The entry that asked may have given up, and may have sent the
+            # request elsewhere.
+            yield RelayFailed('no', 'the helper was paused', True)
+            return
         request = exchange.EncodedRequest(
             message.method, message.target, message.headers, message.body
         )
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -17,6 +17,7 @@
 from balsamdale import metrics
 from balsamdale import node
 from balsamdale import node_settings
+from balsamdale import pauses
 from balsamdale import quarantine
 from balsamdale import quorum
 from balsamdale import quota
@@ -61,6 +62,7 @@
         clocks: node.Clocks,
     ):
         super().__init__(settings, platform_adapter, clocks)
+        self.pauses = pauses.PauseDetector(EXPIRY_CHECK_INTERVAL_S)
         self.table: routes.RouteTable | None = None
         self.directory = discovery.Directory()
         self.balancer = balance.Balancer(
@@ -82,6 +84,7 @@
             platform_adapter.wire_format,
             self.directory.ready,
             random.Random(settings.instance_id),
+            self._paused_s,
         )
         self.quarantine = quarantine.Quarantine(QUARANTINE_CRASH_LIMIT)
         self.reports_ignored = 0
@@ -142,6 +145,7 @@
                 quota=self.quota_client,
                 limits=self.limit_client,
                 paths=self.server_paths,
+                paused_s=self._paused_s,
             )
         )
         self.listener = listener.Listener(
@@ -286,6 +290,9 @@
         )
         return is_configured and not self.member_directory.is_leaving
 
+    def _paused_s(self):
+        return self.pauses.recent_s(self.clocks.monotonic())
+
     def _limiter_names(self):
         return quota_service.limiter_names(self.member_directory)
 
@@ -360,8 +367,11 @@
         self.directory.put(server)
 
     async def _run_expiry(self):
+        self.pauses.start(self.clocks.monotonic())
         while True:
             await asyncio.sleep(EXPIRY_CHECK_INTERVAL_S)
+            if paused_s := self.pauses.tick(self.clocks.monotonic()):
+                decisions.record('paused', length_s=round(paused_s, 3))
             self.directory.expire(self.clocks.monotonic())
             registered = {s.server_id for s in self.directory}
             self.balancer.remove_departed(registered)
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -95,6 +95,8 @@
         quota: acquires units of the quotas of workspaces.
         limits: the limits that servers name.
         paths: paths to backend servers.
+        paused_s: returns the length of a pause of this process that has just
+            ended, or 0.
     """
 
     table: collections_abc.Callable[[], routes.RouteTable | None]
@@ -113,6 +115,7 @@
     quota: quota.QuotaClient
     limits: limit_client.LimitClient
     paths: server_paths.ServerPaths
+    paused_s: collections_abc.Callable[[], float] = lambda: 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/balsamdale/server_paths.py
+++ b/balsamdale/server_paths.py
@@ -88,6 +88,8 @@
         wire_format: translation of header names.
         ready: returns the servers of a service.
         generator: source of the choice between peers.
+        paused_s: returns the length of a pause of this process that has just
+            ended, or 0.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
             [str], collections_abc.Sequence[discovery.Server]
         ],
         generator: random.Random,
+        paused_s: collections_abc.Callable[[], float] = lambda: 0.0,
     ):
         self._http_client = http_client
         self._links = links
@@ -111,7 +114,7 @@
         self._background = background.BackgroundTasks('paths')
         self._is_checking = False
         self._relay = attempt_relay.AttemptRelay(
-            http_client, links, wire_format
+            http_client, links, wire_format, paused_s
         )
         links.serve(AskServer, self._on_ask_server)
 
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -114,7 +114,8 @@
             responder=responder,
             version=table.version,
             started_s=now_s,
-            deadline_s=now_s + timeout_s,
+            # It may have waited unread since before a pause.
+            deadline_s=now_s + timeout_s - self._context.paused_s(),
             workspace=workspace,
             record_ids=request_state.record_ids(call, table, workspace),
         )
--- a/tests/path_world.py
+++ b/tests/path_world.py
@@ -83,6 +83,7 @@
         self.servers = (SERVER, OTHER_SERVER)
         self.links = {n: link.MemoryLinks(n, self.network) for n in names}
         self.clients = {name: ScriptedClient() for name in names}
+        self.paused_s = dict.fromkeys(names, 0.0)
         self.paths = {
             name: server_paths.ServerPaths(
                 self.clients[name],
@@ -91,6 +92,7 @@
                 headers.PlatformWireFormat(),
                 lambda _service: self.servers,
                 random.Random(name),
+                lambda name=name: self.paused_s[name],
             )
             for name in names
         }
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -254,3 +254,20 @@
         assert world.paths[helper_id].count_sending() == 0
 
     run(scenario)
+
+
+def test_paused_helper_sends_nothing_that_it_was_asked_for_before():
+    """The entry that asked has given up, or has sent it elsewhere."""
+
+    async def scenario(world):
+        helper_id = await lose_path(world)
+        world.paused_s[helper_id] = 3.0
+        with pytest.raises(errors.BackendFailed) as caught:
+            await world.send('a')
+        assert caught.value.ran == 'no'
+        assert not world.clients[helper_id].sent
+        world.paused_s[helper_id] = 0.0
+        assert await world.paths['a'].check(SERVER, True) == 'relayed'
+        assert await world.send('a') == WHOLE
+
+    run(scenario)
