Run background loops again after an unexpected error

A malformed message cannot end a process: links drop and log such frames. But an error that nobody expected ended the loop that it came up in, with one line in the log. The process went on without following the key-value service, without renewing its lease, without expiring records or removing departed servers, and counted as ready.

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -78,9 +78,9 @@
         )
 
     async def start(self) -> None:
-        self._background.spawn(self.service.run())
-        self._background.spawn(self.quota_service.run())
-        self._background.spawn(self._maintain_replica_set())
+        self._background.spawn_loop(self.service.run)
+        self._background.spawn_loop(self.quota_service.run)
+        self._background.spawn_loop(self._maintain_replica_set)
         await super().start()
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -180,8 +180,8 @@
             self.settings,
             adapter.EntryStatus(self.is_ready, self._addresses),
         )
-        self._background.spawn(self._run_expiry())
-        self._background.spawn(self.quota_service.run())
+        self._background.spawn_loop(self._run_expiry)
+        self._background.spawn_loop(self.quota_service.run)
         await super().start()
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -126,10 +126,10 @@
             self._metrics_runner = await metrics.serve(
                 self.metrics, self.settings.metrics_address
             )
-        self._background.spawn(self.follower.run())
-        self._background.spawn(self.follower.run_comparisons())
-        self._background.spawn(self.registration.run())
-        self._background.spawn(self.evictor.run())
+        self._background.spawn_loop(self.follower.run)
+        self._background.spawn_loop(self.follower.run_comparisons)
+        self._background.spawn_loop(self.registration.run)
+        self._background.spawn_loop(self.evictor.run)
 
     async def leave(self) -> None:
         """Stop taking work and wait for requests in flight."""
