Replace a fleet of an older build under traffic, and keep golden frames

`make upgrade FROM=COMMIT` builds an older commit beside the present one, replaces a fleet of real processes one after the other under traffic and back, and checks what callers and servers saw.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,11 @@
 SOURCES := balsamdale standins harness tests
 
 SEEDS ?= 100
+# Commit of the older build in `make upgrade`.
+FROM ?= b317cd5
 
-.PHONY: setup test lint format demo prove measure bench golden clean
+.PHONY: setup test lint format demo prove measure bench upgrade frames golden
+.PHONY: clean
 
 setup: .venv/ready
 
@@ -38,6 +41,12 @@
 bench: setup
 	@$(BIN)/python -m harness.bench
 
+upgrade: setup
+	@$(BIN)/python -m harness.upgrade --from $(FROM)
+
+frames: setup
+	@$(BIN)/python -m harness.frames
+
 golden: setup
 	@PYTHONHASHSEED=0 $(BIN)/python -m pytest tests/test_golden.py --golden
 
