Start programs at the least loaded server, and remember it

A program's server was hashed from its id within the domain, and left only for a difference of 0.5 of the slots, and 0.15 for another domain. Event gaps there were three times those of idle servers: the engines share their steps among all requests long before their slots are full.

Change: the first turn of a program, whose prompt no server has cached, leaves its hashed server for a difference of 0.1; later turns come back to the server that the entry remembers. An entry that does not know it hashes.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -15,6 +15,7 @@
 from balsamdale import outcomes
 from balsamdale import request_state
 from balsamdale.scheduling import balance
+from balsamdale.scheduling import program_homes
 from balsamdale.scheduling import retry_budget
 from balsamdale import server_health
 
@@ -52,6 +53,7 @@
     def __init__(self, context: request_state.Context):
         self._context = context
         self._health = server_health.ServerHealth(context)
+        self._homes = program_homes.ProgramHomes()
         self.retry_budget = retry_budget.RetryBudget()
 
     def choose(
@@ -66,7 +68,14 @@
             excluded = excluded | withheld
         balancer = self._context.balancer
         if not balancer.compares_finish(servers):
-            return balancer.choose(servers, state.affinity, excluded, now_s)
+            return balancer.choose(
+                servers,
+                state.affinity,
+                excluded,
+                now_s,
+                home_id=self._homes.find(state.affinity),
+                is_first_turn=state.is_first_turn,
+            )
         return balancer.choose(
             servers,
             state.affinity,
@@ -159,6 +168,8 @@
                 continue
             state.attempts += 1
             excluded.add(choice.server.server_id)
+            if state.affinity and state.affinity == state.call.program_id:
+                self._homes.record(state.affinity, choice.server.server_id)
             state.load = choice.load
             state.report_age_s = choice.report_age_s
             state.chosen_by = choice.factor
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -165,6 +165,7 @@
         caller_wait_s: time spent waiting for the caller to read.
         stage_times_s: time since arrival of each stage reached.
         reader: reads the events of a streamed response.
+        is_first_turn: whether it is known to begin its program.
         workspace: the workspace of the caller's key; None without one.
         record_ids: ids of its stored turn and account.
         holds_unit: whether it holds a unit of its workspace's quota.
@@ -196,6 +197,7 @@
     reader: events.EventReader = dataclasses.field(
         default_factory=events.EventReader
     )
+    is_first_turn: bool = False
     workspace: routes.Workspace | None = None
     record_ids: RecordIds = RecordIds('', '', '')
     holds_unit: bool = False
@@ -211,9 +213,7 @@
     @property
     def is_in_progress(self) -> bool:
         """Whether it belongs to a program that has begun."""
-        if not self.call.program_id:
-            return False
-        return bool(self.call.parent_id) or not self.route.stores_turns
+        return bool(self.call.program_id) and not self.is_first_turn
 
     def record_stage(self, name: str, now_s: float) -> None:
         """Record that a stage was reached, with the time since arrival."""
--- a/balsamdale/scheduling/balance.py
+++ b/balsamdale/scheduling/balance.py
@@ -32,6 +32,10 @@
 # server. Prefilling 15,000 uncached tokens delays all requests of a server
 # by about 55 ms; a half-full server responds about as fast as an empty one.
 CACHE_MISS_COST = 0.5
+# The same for the first turn of a program, of whose prompt no server has
+# cached more than the others. It is above 0 so that all instances choose the
+# same server for a program while servers are about equally busy.
+FIRST_TURN_COST = 0.1
 # Requests that may queue at a server beyond those in its slots.
 QUEUED_REQUESTS_PER_SLOT = 1.0
 
@@ -134,6 +138,8 @@
         tokens: int = 0,
         memory_tokens: int = 0,
         is_retryable: bool = False,
+        home_id: str = '',
+        is_first_turn: bool = False,
     ) -> Choice | None:
         """Return the cheapest server with capacity, or None if all are full.
 
@@ -149,6 +155,9 @@
                 server has no capacity if the request would exceed them.
             is_retryable: whether the request may be sent again if it fails,
                 so that it may go to a server that has failed before.
+            home_id: id of the server that has cached the prompt; empty if
+                unknown. `affinity` then tells where it most likely is.
+            is_first_turn: whether no server has cached the prompt.
         """
         servers = tuple(servers)
         allowed = [s for s in servers if s.server_id not in excluded]
@@ -180,12 +189,13 @@
             return None
         if affinity:
             preferred_id = self._preferred_server_id(
-                affinity, [c.server for c in choices]
+                affinity, [c.server for c in choices], home_id
             )
+            miss_cost = FIRST_TURN_COST if is_first_turn else CACHE_MISS_COST
             choices = [
                 c
                 if c.server.server_id == preferred_id
-                else dataclasses.replace(c, cost=c.cost + CACHE_MISS_COST)
+                else dataclasses.replace(c, cost=c.cost + miss_cost)
                 for c in choices
             ]
         return min(choices, key=lambda c: (c.cost, c.server.server_id))
@@ -378,8 +388,13 @@
             cost += REMOTE_DOMAIN_COST
         return Choice(server, load, cost, now_s - state.reported_at_s)
 
-    def _preferred_server_id(self, affinity, servers):
-        """Choose by rendezvous hashing, alike on all instances of a domain."""
+    def _preferred_server_id(self, affinity, servers, home_id=''):
+        """Return the home of a program, or the server hashed from its id.
+
+        The hashed one is the same on all instances of a domain.
+        """
+        if any(s.server_id == home_id for s in servers):
+            return home_id
         local = [
             s for s in servers if s.failure_domain == self._failure_domain
         ]
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -117,6 +117,7 @@
             # It may have waited unread since before a pause.
             deadline_s=now_s + timeout_s - self._context.paused_s(),
             workspace=workspace,
+            is_first_turn=route.stores_turns and not call.parent_id,
             record_ids=request_state.record_ids(call, table, workspace),
         )
 
@@ -180,6 +181,9 @@
             if chain is None:
                 chain = reservation.chain
                 self._cache.add(chain)
+            if call.budget_tokens and not state.route.stores_turns:
+                # An account without charges has not had a turn before.
+                state.is_first_turn = not reservation.spent_tokens
             requested_tokens = reservation.spent_tokens + call.answer_tokens
             if call.budget_tokens and requested_tokens > call.budget_tokens:
                 raise errors.Refused(
