Accept no new connections while the last requests of a stop end

In a planned stop under load an entry accepted new connections until its grace period was nearly over, so that there always was a request in flight, and the last ones, just accepted, were cut without an answer: with 12 callers that come back at once, 12 were in flight when the entry closed.

Now an entry that stops listens until callers know of it (3 s, or half of a shorter grace period), then accepts nothing, so that callers go elsewhere with a request that was not read, and ends when its last request has ended. test_request_that_was_just_accepted_is_answered_at_a_planned_stop failed before. The detector of pauses reads the loop's own clock, as tests set the clock of decisions.

--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -262,15 +262,14 @@
         self.listener.is_leaving = True
         await super().leave()
         self.server_paths.leave()
-        loop = asyncio.get_running_loop()
-        earliest_end_s = loop.time() + STALE_REGISTRY_DRAIN_S
-        deadline_s = loop.time() + self.settings.grace_s - CLOSE_RESERVE_S
-        while loop.time() < deadline_s:
-            in_flight = (
-                self.handler.in_flight + self.server_paths.count_sending()
-            )
-            if loop.time() > earliest_end_s and not in_flight:
-                return
+        drain_s = self.settings.grace_s - CLOSE_RESERVE_S
+        deadline_s = _loop_time_s() + drain_s
+        await asyncio.sleep(min(STALE_REGISTRY_DRAIN_S, drain_s / 2))
+        # Under load there would always be a request that was just accepted.
+        await self.listener.stop_accepting()
+        while _loop_time_s() < deadline_s and (
+            self.handler.in_flight or self.server_paths.count_sending()
+        ):
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     async def close(self) -> None:
@@ -291,7 +290,7 @@
         return is_configured and not self.member_directory.is_leaving
 
     def _paused_s(self):
-        return self.pauses.recent_s(self.clocks.monotonic())
+        return self.pauses.recent_s(_loop_time_s())
 
     def _limiter_names(self):
         return quota_service.limiter_names(self.member_directory)
@@ -367,12 +366,16 @@
         self.directory.put(server)
 
     async def _run_expiry(self):
-        self.pauses.start(self.clocks.monotonic())
+        self.pauses.start(_loop_time_s())
         while True:
             await asyncio.sleep(EXPIRY_CHECK_INTERVAL_S)
-            if paused_s := self.pauses.tick(self.clocks.monotonic()):
+            if paused_s := self.pauses.tick(_loop_time_s()):
                 decisions.record('paused', length_s=round(paused_s, 3))
             self.directory.expire(self.clocks.monotonic())
             registered = {s.server_id for s in self.directory}
             self.balancer.remove_departed(registered)
             self.limit_client.remove_departed(registered)
+
+
+def _loop_time_s():
+    return asyncio.get_running_loop().time()
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -90,6 +90,11 @@
         )
         await site.start()
 
+    async def stop_accepting(self) -> None:
+        """Accept no new connections; open ones are served on."""
+        for site in list(self._runner.sites):
+            await site.stop()
+
     async def close(self) -> None:
         """Close the listener and all connections."""
         self._background.cancel()
