--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -151,3 +151,46 @@
             await links.close()
 
     asyncio.run(run())
+
+
+MALFORMED = (
+    [b''],
+    [b'\x01'],
+    [b'\xff' * 64],
+    [zeromq.FRAME_HEADER.pack(zeromq.ASK, 1)],
+    [zeromq.FRAME_HEADER.pack(zeromq.REQUEST, 2) + b'\xc1' * 9],
+    [zeromq.FRAME_HEADER.pack(zeromq.ASK, 3) + b'\x93\x01\xa1X\x80'],
+    [zeromq.FRAME_HEADER.pack(zeromq.CANCEL, 4)],
+    [zeromq.FRAME_HEADER.pack(zeromq.ANSWER, 5) + codec.encode(messages.Ok())],
+    [b'one', b'part', b'too many'],
+)
+
+
+def test_malformed_request_of_a_peer_does_not_end_the_link():
+    async def fail(_sender, message):
+        if message.turn < 0:
+            raise KeyError('unexpected')
+        yield messages.Ok()
+
+    async def run():
+        with (
+            contextlib.closing(ports.PortReservations()) as reservations,
+            zmq.asyncio.Context() as context,
+            context.socket(zmq.DEALER) as dealer,
+        ):
+            address = reservations.reserve()
+            links = zeromq.ZeroMQLinks('b', address)
+            links.serve(messages.FetchTurn, fail)
+            peer = zeromq.ZeroMQLinks('a', reservations.reserve())
+            peer.set_peer_address('b', address)
+            dealer.connect(f'tcp://{address}')
+            for parts in MALFORMED:
+                await dealer.send_multipart(parts)
+                with pytest.raises(errors.RemoteError):
+                    await peer.request('b', messages.FetchTurn('p', -1))
+                reply = await peer.request('b', messages.FetchTurn('p', 1))
+                assert reply == messages.Ok()
+            await peer.close()
+            await links.close()
+
+    asyncio.run(asyncio.wait_for(run(), 20.0))
