--- a/harness/request_times.py
+++ b/harness/request_times.py
@@ -60,7 +60,8 @@
         outcome: 'ok', or why it has no answer.
         is_stream: whether its answer has events.
         arrived_s: its arrival, in seconds since the first request.
-        sent_s: from the arrival until its latest attempt was sent.
+        sent_s: from the arrival until its first attempt, as far as it is
+            logged: until its tokens were reserved; 0 for plain requests.
         first_event_s: from the arrival to the first event; 0 without one.
         last_event_s: from the arrival to the last event; 0 without one.
         took_s: from the arrival to its end.
@@ -120,7 +121,7 @@
         outcome=fields['outcome'],
         is_stream='opened_s' in fields or bool(first_s),
         arrived_s=fields['at_s'] - fields['took_s'],
-        sent_s=fields.get('sent_s', fields.get('opened_s', 0.0)),
+        sent_s=fields.get('opened_s', 0.0),
         first_event_s=first_s,
         last_event_s=fields.get('last_event_s', fields['took_s']),
         took_s=fields['took_s'],
@@ -187,7 +188,7 @@
         len(requests),
         len(answered),
         sum(gap > slow_gap_s for gap in gaps),
-        outcomes['no_room'] + outcomes['too_late'],
+        outcomes['no_room'] + outcomes['no_quorum'],
         outcomes['timed_out'] + outcomes['broken'] + outcomes['caller_gone'],
         _quantile([r.sent_s for r in sent], 0.95),
         _quantile(first, 0.5),
