Take new servers to be as busy as the others

A server that had never reported counted as idle while all others counted as usually busy, so that every entry sent its first turns there until it heard from it.

Change: a server without a report has the usual load. The usual load starts at 0 and needs some twenty reports to settle, so a fleet that starts, or an entry that has heard little, takes servers to be idle as before.

test_new_server_is_not_sent_to_by_all_entries_at_once failed before. Two tests had a server without a report stand for an idle one: now it reports that it is idle, and a restarted server is compared with one that has never reported.

--- a/balsamdale/scheduling/balance.py
+++ b/balsamdale/scheduling/balance.py
@@ -302,17 +302,14 @@
         """Estimate the requests at a server, including this instance's.
 
         The part of a report that is due to other instances fades to the load
-        that the service usually has. A server that has never reported counts
-        as idle.
+        that the service usually has.
         """
         state = self._state(server.server_id)
-        if state.report is None:
-            return state.in_flight
         slots = max(1, server.slots)
         share = self._usual_load.estimate(
             server.service,
             state.requests_of_others / slots,
-            state.reported_at_s,
+            state.reported_at_s if state.report is not None else None,
             now_s,
         )
         return state.in_flight + share * slots
--- a/balsamdale/scheduling/usual_load.py
+++ b/balsamdale/scheduling/usual_load.py
@@ -3,7 +3,8 @@
 Load pattern: a burst over a fleet of many entries, of which each hears from
 a server less than once a second. The last report of a server is then too old
 to go by, and a server that was not heard of for a while is most likely as
-busy as the others, not idle.
+busy as the others, not idle. So is one that was not heard of at all: all
+entries would send to a new server at once.
 """
 
 import dataclasses
@@ -38,12 +39,17 @@
             share: requests of other instances there, as a share of slots.
             now_s: the present time.
         """
-        average = self._averages.setdefault(service, _Average(share, now_s))
+        # Servers are taken to be idle until there are some reports.
+        average = self._averages.setdefault(service, _Average(0.0, now_s))
         average.share += REPORT_WEIGHT * (share - average.share)
         average.heard_at_s = now_s
 
     def estimate(
-        self, service: str, share: float, reported_at_s: float, now_s: float
+        self,
+        service: str,
+        share: float,
+        reported_at_s: float | None,
+        now_s: float,
     ) -> float:
         """Estimate a server's load some time after its report.
 
@@ -51,7 +57,7 @@
             service: service of the server.
             share: requests of other instances there when it reported, as a
                 share of slots.
-            reported_at_s: time of the report.
+            reported_at_s: time of the report; None if there was none.
             now_s: the present time.
 
         Returns:
@@ -59,6 +65,8 @@
             the usual one.
         """
         usual = self._usual(service, now_s)
+        if reported_at_s is None:
+            return usual
         age_s = max(0.0, now_s - reported_at_s)
         return usual + (share - usual) * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
