--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -248,13 +248,6 @@
             fields['limit_wait_s'] = round(self.limit_wait_s, 4)
         return fields
 
-    @property
-    def priority(self) -> int:
-        """Rank in queues: the workspace's, or else the route's; 0 first."""
-        if self.workspace is None or self.workspace.priority is None:
-            return self.route.priority
-        return self.workspace.priority
-
 
 def record_ids(
     call: wire.Call,
