--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 from balsamdale import members
 from balsamdale import node
 from balsamdale import replica_set
+from balsamdale import wire
 from tests import routed_site
 
 
@@ -649,6 +650,12 @@
                 assert (await deployment.post('/reads/x'))[0] == 200
         assert entry.balancer.reports_ignored == 4
         servers[0].switches.fail = 1000
+        # The next request goes to it, whichever was measured as faster.
+        entry.balancer.record_load(
+            'plain-2',
+            wire.LoadReport(0, 0, 8, 100.0, True),
+            entry.clocks.monotonic(),
+        )
         statuses = [(await deployment.post('/alerts/x'))[0] for _ in range(30)]
         assert statuses.count(500) <= 3
         assert set(statuses) == {200, 500}
