--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -659,7 +659,6 @@
         statuses = [(await deployment.post('/alerts/x'))[0] for _ in range(30)]
         assert statuses.count(500) <= 3
         assert set(statuses) == {200, 500}
-        # By the entry or by the allocator, which may be the other one.
         entries = [deployment.nodes[n] for n in ('entry-a', 'entry-b')]
         assert sum(e.gauges()['servers_ejected'][1]() for e in entries) >= 1
 
