Carry the links of entries and archives over asyncio, in ZeroMQ's protocol

Cause: sampled processes of the shifted deployment spend most of the time in which they hold the interpreter's lock asking ZeroMQ sockets for their events.

Change: `tcp_link` speaks ZMTP 3.1 with the mechanism NULL (`zmtp`, without I/O) over asyncio. The bytes on the wire are those of before, so an older build is a peer like any other: no second listener, no field in a record, no negotiation. `framed_link` has what both links share; `zeromq` stays for the encrypted link of the product's own instances, where its mechanism CURVE is needed.

Held: silence is noticed after 3 to 4 s (before: 3 to 4), by one timer for all connections, and a connection with traffic is not asked; replies wait for a peer that reads slowly, other messages are dropped beyond 8 MB; a message whose call has ended is not sent when a connection comes back; a connection that breaks the protocol ends with a logged reason.

--- a/balsamdale/errors.py
+++ b/balsamdale/errors.py
@@ -24,6 +24,7 @@
     'NotOwner',
     'OutOfOrder',
     'PathLost',
+    'ProtocolError',
     'Refused',
     'RemoteError',
     'RevisionCompacted',
@@ -161,6 +162,10 @@
         self.name = name
 
 
+class ProtocolError(LinkError):
+    """The other end of a connection broke the protocol of the link."""
+
+
 class UnknownMessage(LinkError):
     """A frame is malformed, or its version or type is unknown."""
 
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -22,8 +22,8 @@
 from balsamdale import node_settings
 from balsamdale import relay
 from balsamdale import replica_set
+from balsamdale import tcp_link
 from balsamdale import watchers
-from balsamdale import zeromq
 
 __all__ = ['Clocks', 'Node', 'main']
 
@@ -64,7 +64,7 @@
         self.store: keyvalue.LeasedKeyValue = platform_adapter.open_store(
             settings
         )
-        self.links = zeromq.ZeroMQLinks(
+        self.links = tcp_link.TcpLinks(
             settings.instance_id, settings.link_address
         )
         self.mirror = mirror.Mirror()
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,4 +1,4 @@
-"""Tests that the memory and the ZeroMQ links behave alike."""
+"""Tests that all links behave alike, also to a peer of an older build."""
 
 import asyncio
 import contextlib
@@ -10,12 +10,22 @@
 
 from balsamdale import codec
 from balsamdale import errors
+from balsamdale import framed_link
 from balsamdale import link
 from balsamdale import messages
+from balsamdale import tcp_link
 from balsamdale import zeromq
 from harness import ports
 
 
+# What opens the links of each end, by name.
+IMPLEMENTATIONS = {
+    'tcp': (tcp_link.TcpLinks, tcp_link.TcpLinks),
+    'older peer serves': (tcp_link.TcpLinks, zeromq.ZeroMQLinks),
+    'older peer calls': (zeromq.ZeroMQLinks, tcp_link.TcpLinks),
+}
+
+
 @contextlib.asynccontextmanager
 async def open_pair(implementation, tmp_path):
     """Open the links of two instances that know each other's address."""
@@ -26,12 +36,17 @@
             link.MemoryLinks('b', network),
         )
         return
-    _, path = zmq.auth.create_certificates(tmp_path, 'test')
-    keys = zeromq.KeyPair.load(path)
     reservations = ports.PortReservations()
     addresses = [reservations.reserve() for _ in range(2)]
-    first = zeromq.ZeroMQLinks('a', addresses[0], keys)
-    second = zeromq.ZeroMQLinks('b', addresses[1], keys)
+    if implementation == 'zeromq':
+        _, path = zmq.auth.create_certificates(tmp_path, 'test')
+        keys = zeromq.KeyPair.load(path)
+        first = zeromq.ZeroMQLinks('a', addresses[0], keys)
+        second = zeromq.ZeroMQLinks('b', addresses[1], keys)
+    else:
+        open_first, open_second = IMPLEMENTATIONS[implementation]
+        first = open_first('a', addresses[0])
+        second = open_second('b', addresses[1])
     first.set_peer_address('b', addresses[1])
     second.set_peer_address('a', addresses[0])
     try:
@@ -42,7 +57,7 @@
         reservations.close()
 
 
-@pytest.fixture(params=['memory', 'zeromq'])
+@pytest.fixture(params=['memory', 'zeromq', *IMPLEMENTATIONS])
 def implementation(request):
     return request.param
 
@@ -122,14 +137,15 @@
     asyncio.run(run())
 
 
-def test_malformed_frame_of_a_peer_does_not_end_the_link():
+@pytest.mark.parametrize('links_type', [zeromq.ZeroMQLinks, tcp_link.TcpLinks])
+def test_malformed_frame_of_a_peer_does_not_end_the_link(links_type):
     async def reply_twice(router):
         """Reply with a frame that is too short, then with the right one."""
         for _ in range(2):
             identity, frame = await router.recv_multipart()
             await router.send_multipart([identity, b'short'])
-            _, call_id = zeromq.FRAME_HEADER.unpack_from(frame)
-            header = zeromq.FRAME_HEADER.pack(zeromq.ANSWER, call_id)
+            _, call_id = framed_link.FRAME_HEADER.unpack_from(frame)
+            header = framed_link.FRAME_HEADER.pack(framed_link.ANSWER, call_id)
             reply = header + codec.encode(messages.Ok())
             await router.send_multipart([identity, reply])
 
@@ -142,7 +158,7 @@
             address = reservations.reserve()
             router.bind(f'tcp://{address}')
             replying = asyncio.create_task(reply_twice(router))
-            links = zeromq.ZeroMQLinks('a', reservations.reserve())
+            links = links_type('a', reservations.reserve())
             links.set_peer_address('b', address)
             for turn in range(2):
                 message = messages.FetchTurn('p', turn)
@@ -157,16 +173,20 @@
     [b''],
     [b'\x01'],
     [b'\xff' * 64],
-    [zeromq.FRAME_HEADER.pack(zeromq.ASK, 1)],
-    [zeromq.FRAME_HEADER.pack(zeromq.REQUEST, 2) + b'\xc1' * 9],
-    [zeromq.FRAME_HEADER.pack(zeromq.ASK, 3) + b'\x93\x01\xa1X\x80'],
-    [zeromq.FRAME_HEADER.pack(zeromq.CANCEL, 4)],
-    [zeromq.FRAME_HEADER.pack(zeromq.ANSWER, 5) + codec.encode(messages.Ok())],
+    [framed_link.FRAME_HEADER.pack(framed_link.ASK, 1)],
+    [framed_link.FRAME_HEADER.pack(framed_link.REQUEST, 2) + b'\xc1' * 9],
+    [framed_link.FRAME_HEADER.pack(framed_link.ASK, 3) + b'\x93\x01\xa1X\x80'],
+    [framed_link.FRAME_HEADER.pack(framed_link.CANCEL, 4)],
+    [
+        framed_link.FRAME_HEADER.pack(framed_link.ANSWER, 5)
+        + codec.encode(messages.Ok())
+    ],
     [b'one', b'part', b'too many'],
 )
 
 
-def test_malformed_request_of_a_peer_does_not_end_the_link():
+@pytest.mark.parametrize('links_type', [zeromq.ZeroMQLinks, tcp_link.TcpLinks])
+def test_malformed_request_of_a_peer_does_not_end_the_link(links_type):
     async def fail(_sender, message):
         if message.turn < 0:
             raise KeyError('unexpected')
@@ -179,9 +199,9 @@
             context.socket(zmq.DEALER) as dealer,
         ):
             address = reservations.reserve()
-            links = zeromq.ZeroMQLinks('b', address)
+            links = links_type('b', address)
             links.serve(messages.FetchTurn, fail)
-            peer = zeromq.ZeroMQLinks('a', reservations.reserve())
+            peer = links_type('a', reservations.reserve())
             peer.set_peer_address('b', address)
             dealer.connect(f'tcp://{address}')
             for parts in MALFORMED:
