--- a/balsamdale/metrics.py
+++ b/balsamdale/metrics.py
@@ -8,35 +8,38 @@
 import functools
 
 from aiohttp import web
-from opentelemetry.exporter import prometheus
-from opentelemetry import metrics
-from opentelemetry.sdk import metrics as sdk_metrics
-import prometheus_client
 
 from balsamdale import sockets
 
 __all__ = ['Metrics', 'ReadGauge', 'RecordValue', 'serve']
 
+# Values of histograms that are kept until the first collection loads the
+# libraries; one more loads them.
+MAX_KEPT_VALUES = 10_000
+
 ReadGauge = collections_abc.Callable[[], float]
 RecordValue = collections_abc.Callable[[float, dict[str, str]], None]
 
 
 class Metrics:
-    """Gauges and histograms of one instance."""
+    """Gauges and histograms of one instance.
+
+    Loading OpenTelemetry takes a fifth of an instance's start. It is loaded
+    when metrics are first collected.
+    """
 
     def __init__(self):
-        self._registry = prometheus_client.CollectorRegistry()
-        reader = prometheus.PrometheusMetricReader(registry=self._registry)
-        provider = sdk_metrics.MeterProvider(metric_readers=[reader])
-        self._meter = provider.get_meter('balsamdale')
+        self._exporter: _Exporter | None = None
+        self._gauges: list[tuple[str, str, ReadGauge]] = []
+        self._histograms: list[tuple[str, str, tuple[float, ...]]] = []
+        # Position of the histogram, value and labels of each.
+        self._values: list[tuple[int, float, dict[str, str]]] = []
 
     def add_gauge(self, name: str, description: str, read: ReadGauge) -> None:
         """Export a value that is read when metrics are collected."""
-        self._meter.create_observable_gauge(
-            name,
-            callbacks=[functools.partial(_observe_gauge, read)],
-            description=description,
-        )
+        self._gauges.append((name, description, read))
+        if self._exporter is not None:
+            self._exporter.add_gauge(name, description, read)
 
     def add_histogram(
         self, name: str, description: str, bounds: tuple[float, ...]
@@ -48,20 +51,72 @@
             description: what it measures.
             bounds: upper bounds of the buckets, in the unit of the metric.
         """
+        position = len(self._histograms)
+        self._histograms.append((name, description, bounds))
+        if self._exporter is not None:
+            self._exporter.add_histogram(name, description, bounds)
+        return functools.partial(self._record, position)
+
+    def text(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return self._load().text()
+
+    def _record(self, position, value, labels):
+        if self._exporter is None and len(self._values) < MAX_KEPT_VALUES:
+            self._values.append((position, value, labels))
+            return
+        self._load().record(position, value, labels)
+
+    def _load(self):
+        if self._exporter is None:
+            self._exporter = _Exporter()
+            for gauge in self._gauges:
+                self._exporter.add_gauge(*gauge)
+            for histogram in self._histograms:
+                self._exporter.add_histogram(*histogram)
+            for recorded in self._values:
+                self._exporter.record(*recorded)
+            self._values.clear()
+        return self._exporter
+
+
+class _Exporter:
+    """The metrics in OpenTelemetry."""
+
+    def __init__(self):
+        from opentelemetry.exporter import prometheus
+        from opentelemetry import metrics
+        from opentelemetry.sdk import metrics as sdk_metrics
+        import prometheus_client
+
+        self._registry = prometheus_client.CollectorRegistry()
+        self._generate = prometheus_client.generate_latest
+        self._observation = metrics.Observation
+        reader = prometheus.PrometheusMetricReader(registry=self._registry)
+        provider = sdk_metrics.MeterProvider(metric_readers=[reader])
+        self._meter = provider.get_meter('balsamdale')
+        self._histograms = []
+
+    def add_gauge(self, name, description, read):
+        self._meter.create_observable_gauge(
+            name,
+            callbacks=[lambda _options: [self._observation(read())]],
+            description=description,
+        )
+
+    def add_histogram(self, name, description, bounds):
         histogram = self._meter.create_histogram(
             name,
             description=description,
             explicit_bucket_boundaries_advisory=bounds,
         )
-        return histogram.record
-
-    def text(self) -> bytes:
-        """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
+        self._histograms.append(histogram)
 
+    def record(self, position, value, labels):
+        self._histograms[position].record(value, labels)
 
-def _observe_gauge(read, _options):
-    return [metrics.Observation(read())]
+    def text(self):
+        return self._generate(self._registry)
 
 
 async def serve(exported: Metrics, address: str) -> web.ServerRunner:
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -212,14 +212,16 @@
 
 
 def main(
-    path: str, platform_adapter: adapter.Adapter, roles: dict[str, type[Node]]
+    path: str,
+    platform_adapter: adapter.Adapter,
+    roles: dict[str, collections_abc.Callable[[], type[Node]]],
 ) -> int:
     """Run an instance until SIGTERM; return the exit status.
 
     Args:
         path: path of the settings file.
         platform_adapter: names, formats and calls of the platform.
-        roles: the class of instance for each role.
+        roles: for each role, what loads its class of instance.
     """
     try:
         settings = node_settings.load(path)
@@ -228,19 +230,20 @@
             print(finding, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     log = decisions.install(settings.instance_id)
-    asyncio.run(_run(settings, platform_adapter, roles, log, path))
+    node_type = roles[settings.role]()
+    asyncio.run(_run(settings, platform_adapter, node_type, log, path))
     log.flush()
     return 0
 
 
-async def _run(settings, platform_adapter, roles, log, path):
+async def _run(settings, platform_adapter, node_type, log, path):
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, settings, path)
     flush_task = asyncio.create_task(log.run())
-    instance = roles[settings.role](settings, platform_adapter, Clocks())
+    instance = node_type(settings, platform_adapter, Clocks())
     await instance.start()
     decisions.record('started', role=settings.role)
     gc.collect()
--- a/balsamdale/platform/__main__.py
+++ b/balsamdale/platform/__main__.py
@@ -3,16 +3,26 @@
 import os
 import sys
 
-from balsamdale import archive_node
-from balsamdale import entry_node
 from balsamdale import node
 from balsamdale.platform import adapter
 
 SETTINGS_VARIABLE = 'BALSAMDALE_SETTINGS'
-ROLES = {
-    'archive': archive_node.ArchiveNode,
-    'entry': entry_node.EntryNode,
-}
+
+
+def _load_archive():
+    from balsamdale import archive_node
+
+    return archive_node.ArchiveNode
+
+
+def _load_entry():
+    from balsamdale import entry_node
+
+    return entry_node.EntryNode
+
+
+# An instance loads only the modules of its own role.
+ROLES = {'archive': _load_archive, 'entry': _load_entry}
 
 
 def main() -> None:
