Answer a request over a link through a future

Cause: each request made a queue and a timeout context to receive one reply. Change: one future and one timer.

--- a/balsamdale/framed_link.py
+++ b/balsamdale/framed_link.py
@@ -35,6 +35,7 @@
     def __init__(self):
         self._call_ids = itertools.count(1)
         self._reply_queues: dict[int, asyncio.Queue] = {}
+        self._answers: dict[int, asyncio.Future] = {}
         self.frames_read = 0
 
     @abc.abstractmethod
@@ -45,18 +46,25 @@
     def close(self) -> None:
         """End the connection; calls in flight end by their timeouts."""
 
-    def start_call(
-        self, payload: bytes, frame_kind: int = REQUEST
-    ) -> tuple[int, asyncio.Queue]:
+    def start_ask(self, payload: bytes) -> tuple[int, asyncio.Future]:
+        """Send a message; return the call's number and its one reply."""
+        call_id = next(self._call_ids)
+        answer = asyncio.get_running_loop().create_future()
+        self._answers[call_id] = answer
+        self.send(call_id, FRAME_HEADER.pack(ASK, call_id) + payload)
+        return call_id, answer
+
+    def start_stream(self, payload: bytes) -> tuple[int, asyncio.Queue]:
         """Send a message; return the call's number and its replies."""
         call_id = next(self._call_ids)
         replies = asyncio.Queue()
         self._reply_queues[call_id] = replies
-        self.send(call_id, FRAME_HEADER.pack(frame_kind, call_id) + payload)
+        self.send(call_id, FRAME_HEADER.pack(REQUEST, call_id) + payload)
         return call_id, replies
 
     def finish_call(self, call_id: int, must_cancel: bool) -> None:
         """Ignore further replies, and cancel the call at the peer."""
+        self._answers.pop(call_id, None)
         self._reply_queues.pop(call_id, None)
         if must_cancel:
             self.send(call_id, FRAME_HEADER.pack(CANCEL, call_id))
@@ -68,9 +76,14 @@
             return
         self.frames_read += 1
         frame_kind, call_id = FRAME_HEADER.unpack_from(frame)
-        replies = self._reply_queues.get(call_id)
-        if replies is not None:
-            replies.put_nowait((frame_kind, frame[FRAME_HEADER.size :]))
+        reply = frame_kind, frame[FRAME_HEADER.size :]
+        answer = self._answers.get(call_id)
+        if answer is None:
+            replies = self._reply_queues.get(call_id)
+            if replies is not None:
+                replies.put_nowait(reply)
+        elif not answer.done():
+            answer.set_result(reply)
 
 
 class FramedLinks(link.Links):
@@ -116,17 +129,20 @@
         channel = self._get_channel(peer_id)
         if channel is None:
             raise errors.LinkTimeout(peer_id, message_name)
-        call_id, replies = channel.start_call(codec.encode(message), ASK)
+        call_id, answer = channel.start_ask(codec.encode(message))
         frames_before = channel.frames_read
+        timer = asyncio.get_running_loop().call_later(
+            timeout_s, _set_timed_out, answer
+        )
         try:
-            async with asyncio.timeout(timeout_s):
-                frame_kind, payload = await replies.get()
+            frame_kind, payload = await answer
         except TimeoutError as error:
             # The connection may be broken although a new one would work.
             if channel.frames_read == frames_before:
                 self._close_if_current(peer_id, channel)
             raise errors.LinkTimeout(peer_id, message_name) from error
         finally:
+            timer.cancel()
             channel.finish_call(call_id, False)
         if frame_kind == FAILED:
             raise errors.RemoteError(
@@ -146,7 +162,7 @@
         channel = self._get_channel(peer_id)
         if channel is None:
             raise errors.LinkTimeout(peer_id, message_name)
-        call_id, replies = channel.start_call(codec.encode(message))
+        call_id, replies = channel.start_stream(codec.encode(message))
         must_cancel = True
         try:
             while True:
@@ -295,3 +311,8 @@
         frame = FRAME_HEADER.pack(frame_kind, call_id) + payload
         self.count_sent(len(frame))
         await self._send_reply(connection, frame)
+
+
+def _set_timed_out(answer):
+    if not answer.done():
+        answer.set_exception(TimeoutError())
