Keep the kernel from ending the stalled readers of a test

Cause, by a trace of the counts each second: the listener's sockets have a user timeout of 5 s, so the kernel ends a stalled reader's connection 5 s after it stalls. In the trace 18 of 18 responders, as expected, until the third second, and 0 of 18 from the fourth. A run in which the 60 callers take that long waits for a count that never comes.

Change: the test raises that timeout, so that only the budget of memory ends connections. The check is the same.

--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -11,6 +11,7 @@
 from balsamdale.platform import headers
 from balsamdale import routes
 from balsamdale.scheduling import memory
+from balsamdale import sockets
 from harness import ports
 from tests import raw_server
 
@@ -179,8 +180,10 @@
     run(scenario)
 
 
-def test_stalled_readers_are_disconnected_and_others_are_served():
+def test_stalled_readers_are_disconnected_and_others_are_served(monkeypatch):
     """Replays callers that request streams and never read them."""
+    # Otherwise the kernel ends their connections too, 5 s after they stall.
+    monkeypatch.setattr(sockets, 'LISTENER_UNACKED_TIMEOUT_MS', 60_000)
 
     async def scenario(site):
         site.handler.chunk_count = 10**6
