Leave servers out that fail their requests, at all services

Cause: outcomes of requests judged servers only where one of them reports a slowdown; elsewhere a server was avoided only if it took no connection.

Change: `OutlierDetector` is asked at all services. Where no request may be repeated, an ejected server is tried again with the first turn of a program, which has no cached prompt to lose, one second later than with one that may.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -67,12 +67,17 @@
         if withheld := self._context.limits.withheld(servers):
             excluded = excluded | withheld
         balancer = self._context.balancer
+        is_retryable = (
+            _may_repeat(state)
+            and state.delivered_attempts + 1 < state.route.attempt_limit
+        )
         if not balancer.compares_finish(servers):
             return balancer.choose(
                 servers,
                 state.affinity,
                 excluded,
                 now_s,
+                is_retryable=is_retryable,
                 home_id=self._homes.find(state.affinity),
                 is_first_turn=state.is_first_turn,
             )
@@ -84,8 +89,8 @@
             prompt_tokens=state.call.prompt_tokens,
             tokens=outcomes.held_tokens(state),
             memory_tokens=state.service.memory_tokens,
-            is_retryable=_may_repeat(state)
-            and state.delivered_attempts + 1 < state.route.attempt_limit,
+            is_retryable=is_retryable,
+            is_first_turn=state.is_first_turn,
         )
 
     async def choose_in_time(
--- a/balsamdale/scheduling/balance.py
+++ b/balsamdale/scheduling/balance.py
@@ -4,9 +4,9 @@
 requests go to the server whose prefix cache is most likely warm, unless the
 cost of that server's load exceeds the cost of a cache miss elsewhere.
 
+Servers that fail more requests than their peers are left out (`outliers`).
 Where a server of the service has reported a slowdown, the cost is the
-expected time to finish, and servers are judged by the outcomes of requests;
-see `finish_time` and `outliers` for the load patterns.
+expected time to finish (`finish_time`).
 """
 
 from collections import abc as collections_abc
@@ -99,9 +99,8 @@
             its slots, as a share of the slots.
         record_event: called with the name and the fields of each ejection
             and readmission of a server.
-        compares_finish: whether the expected time to finish and the outcomes
-            decide at all services, also where no server has reported a
-            slowdown.
+        compares_finish: whether the expected time to finish decides at all
+            services, also where no server has reported a slowdown.
 
     Attributes:
         reports_ignored: load reports that were malformed or out of range.
@@ -151,7 +150,7 @@
             memory_tokens: tokens that a server can hold; 0 if unknown. A
                 server has no capacity if the request would exceed them.
             is_retryable: whether the request may be sent again if it fails,
-                so that it may go to a server that has failed before.
+                so that it may soon go to a server that has failed before.
             home_id: id of the server that has cached the prompt; empty if
                 unknown. `affinity` then tells where it most likely is.
             is_first_turn: whether no server has cached the prompt.
@@ -162,22 +161,18 @@
             s for s in allowed if not self._current_state(s).is_suspected
         ] or allowed
         choices = self._with_capacity(candidates, now_s, tokens, memory_tokens)
+        ejected = self._ejected(servers, now_s)
+        may_probe = is_retryable or is_first_turn or not affinity
+        for choice in choices if may_probe else ():
+            server_id = choice.server.server_id
+            if server_id in ejected and self.outliers.is_probe_due(
+                server_id, now_s, is_retryable
+            ):
+                return dataclasses.replace(choice, factor='probe')
+        # Ejected servers are better than none.
+        if not ejected.issuperset(s.server_id for s in candidates):
+            choices = [c for c in choices if c.server.server_id not in ejected]
         if self.compares_finish(servers):
-            ejected = self.outliers.ejected(
-                servers[0].service, [s.server_id for s in servers], now_s
-            )
-            if is_retryable:
-                for choice in choices:
-                    server_id = choice.server.server_id
-                    if server_id in ejected and self.outliers.is_probe_due(
-                        server_id, now_s
-                    ):
-                        return dataclasses.replace(choice, factor='probe')
-            # Ejected servers are better than none.
-            if not ejected.issuperset(s.server_id for s in candidates):
-                choices = [
-                    c for c in choices if c.server.server_id not in ejected
-                ]
             work = finish_time.Work(
                 max(0, prompt_tokens), max(0, tokens - prompt_tokens)
             )
@@ -197,10 +192,18 @@
             ]
         return min(choices, key=lambda c: (c.cost, c.server.server_id))
 
+    def _ejected(self, servers, now_s):
+        """Return the servers that fail more often than their peers."""
+        if not servers:
+            return set()
+        return self.outliers.ejected(
+            servers[0].service, [s.server_id for s in servers], now_s
+        )
+
     def compares_finish(
         self, servers: collections_abc.Iterable[discovery.Server]
     ) -> bool:
-        """Return whether expected times and outcomes decide at a service."""
+        """Return whether the expected time to finish decides at a service."""
         states = (self._current_state(server) for server in servers)
         return self._compares_finish or any(
             s.report is not None and s.report.has_slowdown for s in states
--- a/balsamdale/scheduling/outliers.py
+++ b/balsamdale/scheduling/outliers.py
@@ -36,6 +36,9 @@
 # Successful single requests in a row that end an ejection: a server that
 # fails 35% of its requests passes this one time in four.
 PROBES_TO_READMIT = 3
+# Further time for which a request that can be repeated is waited for before
+# one that cannot is risked as a single request.
+REPEATABLE_PROBE_WAIT_S = 1.0
 # Time after which a single request without an outcome counts as lost.
 PROBE_TIMEOUT_S = 5.0
 # Time without ejection after which earlier ones no longer count.
@@ -172,16 +175,26 @@
             ejected.add(name)
         return ejected
 
-    def is_probe_due(self, server_id: str, now_s: float) -> bool:
+    def is_probe_due(
+        self, server_id: str, now_s: float, is_retryable: bool = True
+    ) -> bool:
         """Return whether an ejected server may get a single request.
 
         The caller offers it to the server; it counts once `start_probe` is
         called.
+
+        Args:
+            server_id: the ejected server.
+            now_s: the present time.
+            is_retryable: whether the request may be sent again if it fails.
         """
         record = self._records[server_id]
         since_s = record.probing_since_s
         is_probing = since_s is not None and now_s - since_s < PROBE_TIMEOUT_S
-        if is_probing or now_s < record.next_probe_s:
+        due_s = record.next_probe_s
+        if not is_retryable:
+            due_s += REPEATABLE_PROBE_WAIT_S
+        if is_probing or now_s < due_s:
             return False
         record.offered_s = now_s
         return True
