Send no program back to the server where it has just failed

Cause: a turn whose answer is lost may have run, so only its caller may send it again. It does so a moment later, to the same entry, which chose the server that has cached the prompt, until two failures had ejected it.

Change: `RecentFailures` keeps the failures of the last 2 s by program, and the program avoids these servers unless nothing else has room.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -16,6 +16,7 @@
 from balsamdale import request_state
 from balsamdale.scheduling import balance
 from balsamdale.scheduling import program_homes
+from balsamdale.scheduling import recent_failures
 from balsamdale.scheduling import retry_budget
 from balsamdale import server_health
 
@@ -54,6 +55,7 @@
         self._context = context
         self._health = server_health.ServerHealth(context)
         self._homes = program_homes.ProgramHomes()
+        self._failures = recent_failures.RecentFailures()
         self.retry_budget = retry_budget.RetryBudget()
 
     def choose(
@@ -66,6 +68,14 @@
         servers = self._context.directory.ready(state.service.name)
         if withheld := self._context.limits.withheld(servers):
             excluded = excluded | withheld
+        avoided = self._failures.avoided(state.call.program_id, now_s)
+        if avoided:
+            choice = self._choose(state, servers, excluded | avoided, now_s)
+            if choice is not None:
+                return choice
+        return self._choose(state, servers, excluded, now_s)
+
+    def _choose(self, state, servers, excluded, now_s):
         balancer = self._context.balancer
         is_retryable = (
             _may_repeat(state)
@@ -251,6 +261,12 @@
                 return False
             state.delivered_attempts += 1
             state.may_have_run = True
+            if state.call.program_id:
+                self._failures.record(
+                    state.call.program_id,
+                    server.server_id,
+                    self._context.clock(),
+                )
             self._health.start_crash_check(state, server)
             return self._retry_or_refuse(state, failure)
 
