--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 FROM ?= b317cd5
 
 .PHONY: setup test lint format demo prove measure bench upgrade frames golden
-.PHONY: clean
+.PHONY: clean costs
 
 setup: .venv/ready
 
@@ -44,6 +44,9 @@
 upgrade: setup
 	@$(BIN)/python -m harness.upgrade --from $(FROM)
 
+costs: setup
+	@$(BIN)/python -m harness.costs --commit $(FROM) --commit HEAD
+
 frames: setup
 	@$(BIN)/python -m harness.frames
 
