Close the listening socket of a link, and test that its queue is bounded

The listening socket stayed open if the links were closed before the loop had begun to accept. It now keeps the check of silence out, which ends such a connection after 3 to 4 s.

--- a/balsamdale/tcp_link.py
+++ b/balsamdale/tcp_link.py
@@ -52,12 +52,12 @@
         super().__init__(instance_id)
         self._connections: set['_Connection'] = set()
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
-        sock = sockets.create_listening_socket(address)
-        sock.listen(BACKLOG)
-        sock.setblocking(False)
+        self._socket = sockets.create_listening_socket(address)
+        self._socket.listen(BACKLOG)
+        self._socket.setblocking(False)
         self._server: asyncio.Server | None = None
         self._tasks = (
-            asyncio.create_task(self._accept(sock)),
+            asyncio.create_task(self._accept()),
             asyncio.create_task(self._check_silence()),
         )
 
@@ -67,6 +67,7 @@
         await super().close()
         if self._server is not None:
             self._server.close()
+        self._socket.close()
         for connection in list(self._connections):
             connection.close()
 
@@ -96,11 +97,11 @@
         connection.send(frame)
         await connection.wait_until_writable()
 
-    async def _accept(self, sock):
+    async def _accept(self):
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: _Connection(self, zmtp.Role.SERVING, self.handle_call),
-            sock=sock,
+            sock=self._socket,
             backlog=BACKLOG,
         )
 
--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -4,9 +4,10 @@
 import contextlib
 
 from balsamdale import codec
-from balsamdale import link
+from balsamdale import errors
 from balsamdale import messages
 from balsamdale import tcp_link
+from balsamdale import zmtp
 from harness import ports
 
 
@@ -79,7 +80,7 @@
 def test_call_given_up_before_it_connected_is_never_sent():
     async def main(own_address, peer_address):
         caller, _ = open_caller(own_address, peer_address)
-        with contextlib.suppress(link.errors.LinkTimeout):
+        with contextlib.suppress(errors.LinkTimeout):
             await caller.request('b', messages.FetchTurn('p', 1), 0.2)
         received = []
 
@@ -160,9 +161,7 @@
 
     async def main(own_address, peer_address):
         async def stay_silent(reader, writer):
-            writer.write(
-                tcp_link.zmtp.Peer(tcp_link.zmtp.Role.SERVING).opening()
-            )
+            writer.write(zmtp.Peer(zmtp.Role.SERVING).opening())
             while data := await reader.read(4096):
                 received.extend(data)
             writer.close()
@@ -183,6 +182,41 @@
         run(main(*addresses))
 
 
+def test_messages_to_a_peer_that_does_not_read_are_bounded(monkeypatch):
+    monkeypatch.setattr(tcp_link, 'MAX_UNSENT_BYTES', 1_000_000)
+    # The peer is silent too.
+    monkeypatch.setattr(tcp_link, 'SILENCE_CHECK_INTERVAL_S', 60.0)
+    payload = codec.encode(messages.AnswerDelta(0, 'x' * 100_000))
+
+    async def main(own_address, peer_address):
+        async def read_nothing(_reader, writer):
+            writer.write(zmtp.Peer(zmtp.Role.SERVING).opening())
+            await test_ends.wait()
+
+        test_ends = asyncio.Event()
+        host, _, port = peer_address.rpartition(':')
+        server = await asyncio.start_server(
+            read_nothing, host, int(port), limit=1024
+        )
+        caller, _ = open_caller(own_address, peer_address)
+        channel = caller._get_channel('b')
+        channel.start_ask(payload)
+        await wait_until(lambda: channel._connection is not None)
+        for _ in range(300):
+            channel.start_ask(payload)
+            await asyncio.sleep(0)
+        transport = channel._connection._transport
+        unsent_bytes = transport.get_write_buffer_size()
+        assert 1_000_000 < unsent_bytes < 1_000_000 + 2 * len(payload)
+        test_ends.set()
+        await caller.close()
+        transport.abort()
+        server.close()
+
+    with reserve_addresses() as addresses:
+        run(main(*addresses))
+
+
 def test_peer_of_another_protocol_is_logged_and_harms_no_other(caplog):
     async def main(own_address, peer_address):
         peer = tcp_link.TcpLinks('b', peer_address)
