--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -55,7 +55,7 @@
         self._context = context
         self._health = server_health.ServerHealth(context)
         self._homes = program_homes.ProgramHomes()
-        self._failures = recent_failures.RecentFailures()
+        self._recent_failures = recent_failures.RecentFailures()
         self.retry_budget = retry_budget.RetryBudget()
 
     def choose(
@@ -68,7 +68,7 @@
         servers = self._context.directory.ready(state.service.name)
         if withheld := self._context.limits.withheld(servers):
             excluded = excluded | withheld
-        avoided = self._failures.avoided(state.call.program_id, now_s)
+        avoided = self._recent_failures.avoided(state.call.program_id, now_s)
         if avoided:
             choice = self._choose(state, servers, excluded | avoided, now_s)
             if choice is not None:
@@ -262,7 +262,7 @@
             state.delivered_attempts += 1
             state.may_have_run = True
             if state.call.program_id:
-                self._failures.record(
+                self._recent_failures.record(
                     state.call.program_id,
                     server.server_id,
                     self._context.clock(),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -637,6 +637,26 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_turn_that_failed_at_a_server_is_served_elsewhere_at_once(tmp_path):
+    """Its caller sends it again; the server still takes connections."""
+
+    async def scenario(deployment):
+        assert (await deployment.post_turn('t1'))[0] == 200
+        failing = next(
+            deployment.servers[name]
+            for name in ('engine-1', 'engine-2')
+            if deployment.servers[name].runs
+        )
+        failing.switches.drop = 1000
+        assert (await deployment.post_turn('t2', parent='t1'))[0] == 502
+        for turn_id in ('t3', 't4'):
+            status, _, _ = await deployment.post_turn(turn_id, parent='t1')
+            assert status == 200
+        assert failing.runs.count('t3') == failing.runs.count('t4') == 0
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_server_that_fails_gets_few_requests(tmp_path):
     """Its health check does not show that it fails all requests."""
 
