--- a/harness/costs.py
+++ b/harness/costs.py
@@ -1,17 +1,24 @@
-"""Processor time of a start, of an idle second and of a turn.
+"""Processor time and system calls of a start, an idle second and a turn.
 
 Real processes of a build serve turns on the project's stand-ins; the
-kernel's counters of each process are read before and after. The figures
-compare builds on one machine, side by side; they are no bounds.
+kernel's counters of each process are read before and after. System calls are
+counted by strace, if it is installed, while the same work is done once more.
+The figures compare builds on one machine, side by side; they are no bounds.
 """
 
 import asyncio
+import collections
+from collections import abc as collections_abc
 import contextlib
 import dataclasses
 import json
+import math
 import os
 import pathlib
+import shutil
+import signal
 import statistics
+import subprocess
 import tempfile
 
 import aiohttp
@@ -22,6 +29,10 @@
 
 TURNS_PER_PROGRAM = 4
 IDLE_S = 4.0
+# Time until strace has attached to an instance.
+ATTACH_S = 1.0
+# System calls that send a message or a part of a response.
+SENDS = ('sendto', 'sendmsg')
 CLOCK_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -29,19 +40,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class Costs:
-    """Processor time in ms.
+    """Processor time in ms, and numbers of system calls.
 
     Attributes:
         entry_start_ms: from the start of an entry until it is ready.
         archive_start_ms: from the start of an archive until it is idle.
         idle_ms_per_s: of all instances, per instance and second.
         turn_ms: of all instances together, for one turn.
+        start_calls: of an entry from its start until it is ready.
+        idle_calls_per_s: of all instances, per instance and second.
+        turn_calls: of all instances together, for one turn.
+        turn_sends: those of them that send something.
     """
 
     entry_start_ms: float
     archive_start_ms: float
     idle_ms_per_s: float
     turn_ms: float
+    start_calls: float = math.nan
+    idle_calls_per_s: float = math.nan
+    turn_calls: float = math.nan
+    turn_sends: float = math.nan
 
 
 def processor_ms(process_id: int) -> float:
@@ -73,14 +92,90 @@
         before_ms = _all_used_ms(fleet)
         took_s = await _send_turns(fleet, turns)
         used_ms = _all_used_ms(fleet) - before_ms - idle_ms_per_s * took_s
-    return Costs(
-        round(entry_start_ms),
-        round(archive_start_ms),
-        round(idle_ms_per_s / len(fleet.instances), 2),
-        round(used_ms / turns, 2),
+        costs = Costs(
+            round(entry_start_ms),
+            round(archive_start_ms),
+            round(idle_ms_per_s / len(fleet.instances), 2),
+            round(used_ms / turns, 2),
+        )
+        if shutil.which('strace'):
+            costs = await _with_calls(
+                costs, fleet, folder, build_folder, turns
+            )
+    return costs
+
+
+async def _with_calls(costs, fleet, folder, build_folder, turns):
+    """Add the system calls of the same work."""
+    folder = pathlib.Path(folder)
+    processes = [i.process.pid for i in fleet.instances.values()]
+    idle = await count_calls(processes, folder, asyncio.sleep(IDLE_S))
+    idle_per_s = collections.Counter(
+        {name: count / IDLE_S for name, count in idle.items()}
+    )
+    started_s = asyncio.get_running_loop().time()
+    busy = await count_calls(
+        processes, folder, _send_turns(fleet, turns, 'traced')
+    )
+    took_s = asyncio.get_running_loop().time() - started_s - ATTACH_S
+    of_turns = {
+        name: count - idle_per_s[name] * took_s for name, count in busy.items()
+    }
+    name = upgrade.ENTRIES[-1]
+    await fleet.stop(name)
+    report = folder / 'start.calls'
+    # With -D the instance, not strace, is this process's child.
+    await fleet.start(
+        name, build_folder, ('strace', '-D', '-f', '-c', '-o', str(report))
+    )
+    await fleet.stop(name)
+    while not report.read_text():
+        await asyncio.sleep(0.05)
+    return dataclasses.replace(
+        costs,
+        start_calls=read_calls(report).total(),
+        idle_calls_per_s=round(idle.total() / IDLE_S / len(processes)),
+        turn_calls=round(sum(of_turns.values()) / turns),
+        turn_sends=round(
+            sum(of_turns.get(name, 0) for name in SENDS) / turns, 1
+        ),
     )
 
 
+async def count_calls(
+    process_ids: collections_abc.Iterable[int],
+    folder: pathlib.Path,
+    work: collections_abc.Awaitable,
+) -> collections.Counter[str]:
+    """Return the system calls of processes during some work, by name."""
+    reports = {pid: folder / f'{pid}.calls' for pid in process_ids}
+    tracers = [
+        subprocess.Popen(
+            ('strace', '-f', '-c', '-o', str(report), '-p', str(process_id)),
+            stderr=subprocess.DEVNULL,
+        )
+        for process_id, report in reports.items()
+    ]
+    await asyncio.sleep(ATTACH_S)
+    await work
+    for tracer in tracers:
+        tracer.send_signal(signal.SIGINT)
+    for tracer in tracers:
+        tracer.wait()
+    return sum(map(read_calls, reports.values()), collections.Counter())
+
+
+def read_calls(report: pathlib.Path) -> collections.Counter[str]:
+    """Return the number of each system call in a summary of strace."""
+    counts = collections.Counter()
+    for line in report.read_text().splitlines():
+        fields = line.split()
+        if fields and fields[0].replace('.', '').isdigit():
+            counts[fields[-1]] += int(fields[3])
+    counts.pop('total', None)
+    return counts
+
+
 def _used_ms(fleet, name):
     return processor_ms(fleet.instances[name].process.pid)
 
@@ -89,7 +184,7 @@
     return sum(_used_ms(fleet, name) for name in fleet.instances)
 
 
-async def _send_turns(fleet, turns):
+async def _send_turns(fleet, turns, prefix='timed'):
     """Send programs of turns, one after the other; return how long."""
     loop = asyncio.get_running_loop()
     started_s = loop.time()
@@ -99,12 +194,12 @@
         for number in range(turns):
             if number % TURNS_PER_PROGRAM == 0:
                 parent_id = ''
-            turn_id = f'turn-{number}'
+            turn_id = f'{prefix}-{number}'
             headers = {
                 'Host': platform_store.HOST,
                 'Api-Key': 'key-open',
                 'X-Request-Id': turn_id,
-                'X-Program-Id': f'program-{number // TURNS_PER_PROGRAM}',
+                'X-Program-Id': f'{prefix}-{number // TURNS_PER_PROGRAM}p',
                 'X-Token-Usage': '100,30',
                 'X-Token-Budget': '100000',
                 'X-Deadline-Ms': '3000',
--- a/harness/upgrade.py
+++ b/harness/upgrade.py
@@ -165,12 +165,23 @@
                 instance.process.wait()
         await self._stack.aclose()
 
-    async def start(self, name: str, build_folder: pathlib.Path) -> None:
-        """Start an instance on a build, and wait until it is ready."""
+    async def start(
+        self,
+        name: str,
+        build_folder: pathlib.Path,
+        wrapper: tuple[str, ...] = (),
+    ) -> None:
+        """Start an instance on a build, and wait until it is ready.
+
+        Args:
+            name: its id.
+            build_folder: folder of the build.
+            wrapper: a command that runs the instance's command.
+        """
         instance = self.instances[name]
         with open(self._folder / f'{name}.log', 'ab') as log:
             instance.process = subprocess.Popen(
-                (sys.executable, '-m', 'balsamdale.platform'),
+                (*wrapper, sys.executable, '-m', 'balsamdale.platform'),
                 cwd=build_folder,
                 env={
                     **os.environ,
