--- a/review/kit/server.py
+++ b/review/kit/server.py
@@ -10,6 +10,7 @@
 
 from review.kit import world as worlds
 
+HEARTBEAT_S = 1.2
 
 class Server:
     """Runs requests one after the other on each connection.
@@ -35,14 +36,43 @@
         self.bodies = {}
         self.running = 0
         self.state = 'ready'
-        self._born = int(time.time() * 1000)
-        self._seq = itertools.count(1)
+        self._number, self._starts = number, 0
+        self._transports = set()
+        self._runner = None
 
     def app(self):
         app = web.Application(client_max_size=2**24)
         app.router.add_route('*', '/{path:.*}', self._handle)
         return app
 
+    async def start(self):
+        """Start as a new incarnation with a new id, and register."""
+        self._starts += 1
+        if self._starts > 1:
+            self.server_id = f'i-{self._number:03d}-{self._starts}'
+        self._born = int(time.time() * 1000)
+        self._seq = itertools.count(1)
+        self._runner = await self.world.serve(
+            self.app(), self.ip, worlds.SERVER_PORT
+        )
+        self.world.record.line(f'{self.server_id} has started')
+        self.register()
+
+    async def crash(self):
+        """End at once; the registration lapses after three heartbeats."""
+        self.world.record.line(f'{self.server_id} crashes')
+        runner, self._runner = self._runner, None
+        for site in list(runner.sites):
+            await site.stop()
+        for transport in list(self._transports):
+            transport.abort()
+        await runner.cleanup()
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_S,
+            self.world.store.remove,
+            f'servers/{self.server_id}',
+        )
+
     def register(self):
         """Write the registration, as each heartbeat does."""
         self.world.store.write(
@@ -64,8 +94,9 @@
 
     async def beat(self):
         while True:
-            await asyncio.sleep(1.2)
-            self.register()
+            await asyncio.sleep(HEARTBEAT_S)
+            if self._runner is not None:
+                self.register()
 
     async def _handle(self, request):
         request_id = request.headers.get('X-Request-Id', '')
@@ -82,6 +113,8 @@
         self.bodies[request_id] = body
         headers['X-Server-Seal'] = hashlib.sha256(body).hexdigest()[:8]
         self.running += 1
+        transport = request.transport
+        self._transports.add(transport)
         try:
             if 'X-Token-Usage' not in request.headers:
                 await asyncio.sleep(self.work_s)
@@ -102,3 +135,4 @@
             raise
         finally:
             self.running -= 1
+            self._transports.discard(transport)
--- a/review/kit/world.py
+++ b/review/kit/world.py
@@ -204,6 +204,7 @@
         await runner.setup()
         await web.TCPSite(runner, ip, port).start()
         self._runners.append(runner)
+        return runner
 
     async def start(self, configuration, servers):
         """Start the store, the servers and all instances."""
@@ -211,8 +212,7 @@
         await self.serve(self.store.app(), f'{self.base}.1', STORE_PORT)
         self.configure(configuration)
         for server in servers:
-            await self.serve(server.app(), server.ip, SERVER_PORT)
-            server.register()
+            await server.start()
             self._tasks.append(asyncio.create_task(server.beat()))
         for instance in (*self.archives, *self.entries):
             await instance.start(is_first=True)
