--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Turns of other callers are refused for good after engines have crashed."""
+"""Followers of a watcher that reads the store in pages miss a change."""
 
 import asyncio
 import sys
@@ -8,90 +8,107 @@
 from review.kit import server
 from review.kit import world
 
-ENGINES = 5
-CRASHES = 3
-DOWN_S = 4.0
-# Between the return of an engine and the next crash, and before the check.
-CALM_S = 6.0
-TRIES = 5
-BODY = b'continue'
+PAGE_ITEMS = 50
+SERVERS = 60
+SLOW_S, SLOW_FOR_S = 0.2, 4.5
+SILENT_S = 1.0
+# Times after the first watcher has begun to read the keys again: the next
+# page is read SLOW_S later.
+CHANGE_AT_S, DRAIN_AT_S = 0.12, 0.15
+# Until all machines are in touch and every bound has passed.
+CALM_S = 15.0
+REQUESTS = 20
+
+
+class PagedStore(world.Store):
+    """A store whose watches hear nothing for a while."""
+
+    page_items = PAGE_ITEMS
+    is_silent = False
+    reading = None
+
+    async def _watch(self, request):
+        while self.is_silent:
+            await asyncio.sleep(0.01)
+        response = await super()._watch(request)
+        if response.status == 410:
+            self.record.line('the store answers a watch with 410')
+        return response
+
+    async def _range(self, request):
+        after = request.query.get('after', '')
+        if not after and self.reading is not None:
+            self.reading.set()
+        self.record.line(f'the store reads the page after {after!r}')
+        return await super()._range(request)
 
 
 async def case(w):
-    engines = [
-        server.Server(w, 'models', 100 + n, events=8, event_gap_s=0.2)
-        for n in range(ENGINES)
-    ]
-    await w.start(
-        configuration.configuration(1, [configuration.turns_route()]), engines
-    )
+    w.store = PagedStore()
+    w.store.record = w.record
+    old = [server.Server(w, 'orders', 60 + n) for n in range(SERVERS)]
+    new = [server.Server(w, 'orders-2', 160 + n) for n in range(3)]
+    await w.start(_version(1, 'orders'), [*old, *new])
+    for entry in w.entries:
+        await _send(w, entry, 3)
+    store = w.store
+    started_s = w.record.now_s()
     if world.has_trouble():
-        for number in range(CRASHES):
-            await _crash_one(w, engines, number)
-    # All engines are back, and no request runs.
-    connection = client.Connection(w, w.entries[0])
-    first = await _turn(connection, 'cc01', b'first question')
-    if first.status != 200 or not first.is_whole:
-        raise RuntimeError(f'the first turn was not served: {first}')
-    others = await asyncio.gather(
-        *(
-            _turn(client.Connection(w, e), f'dd{n:02x}', b'question %d' % n)
-            for n in range(4)
-            for e in w.entries
-        )
-    )
-    if any(a.status != 200 for a in others):
-        raise RuntimeError(f'first turns were not served: {others}')
-    tries = []
-    for number in range(TRIES):
-        entry = w.entries[number % len(w.entries)]
-        tries.append(
-            await _turn(
-                client.Connection(w, entry), 'cc01', BODY, first.request_id
-            )
+        w.record.line('the store answers slowly, and watches hear nothing')
+        store.switches.delay_s = SLOW_S
+        store.is_silent = True
+    await asyncio.sleep(SILENT_S)
+    if world.has_trouble():
+        store.compact_history()
+        store.is_silent = False
+        w.record.line('the store has dropped its history')
+        store.reading = asyncio.Event()
+        await store.reading.wait()
+    await asyncio.sleep(CHANGE_AT_S)
+    w.configure(_version(2, 'orders-2'))
+    await asyncio.sleep(DRAIN_AT_S - CHANGE_AT_S)
+    old[-1].state = 'draining'
+    old[-1].register()
+    w.record.line(f'{old[-1].server_id} reports that it is draining')
+    await asyncio.sleep(started_s + SLOW_FOR_S - w.record.now_s())
+    store.switches.delay_s = 0
+    w.record.line('the store answers as usual')
+    await asyncio.sleep(CALM_S)
+    stale = {}
+    for entry in w.entries:
+        answers = await _send(w, entry, REQUESTS)
+        by_old = sum(any(a.request_id in s.runs for s in old) for a in answers)
+        w.record.line(
+            f'{entry.name}: {by_old} of {REQUESTS} run by the old service'
         )
-        if tries[-1].status == 200:
-            break
-        await asyncio.sleep(0.3)
-    reached = [
-        a for a in tries if any(a.request_id in e.runs for e in engines)
-    ]
-    if not reached and len(tries) == TRIES:
+        if by_old:
+            stale[entry.name] = by_old
+    if stale:
         return (
-            f'LOST: a turn of a new program reaches no engine in {TRIES} '
-            f'tries: {[a.status for a in tries]}, while all '
-            f'{len(others)} first turns are served'
+            f'CONFIG: {CALM_S} s after the last disruption, requests are run '
+            f'by the service of version 1: {stale}'
         )
     return ''
 
 
-async def _crash_one(w, engines, number):
-    """Crash one engine while it runs turns of some callers."""
-    turns = [
-        asyncio.create_task(
-            _turn(client.Connection(w, e), f'aa{number}{n}{i}', BODY)
-        )
-        for n in range(4)
-        for i, e in enumerate(w.entries)
-    ]
-    await asyncio.sleep(0.8)
-    victim = max(engines, key=lambda e: e.running)
-    await victim.crash()
-    await asyncio.gather(*turns)
-    await asyncio.sleep(DOWN_S)
-    await victim.start()
-    await asyncio.sleep(CALM_S)
+def _version(number, service):
+    return configuration.configuration(
+        number,
+        [configuration.orders_route(service=service)],
+        ('orders', 'orders-2'),
+    )
 
 
-async def _turn(connection, program, body, parent=''):
-    answer = await connection.send(
-        'POST',
-        '/turns/a',
-        configuration.turn_headers(program, parent),
-        body,
-    )
+async def _send(w, entry, count):
+    connection = client.Connection(w, entry)
+    answers = []
+    for _ in range(count):
+        answer = await connection.send('POST', '/orders/1', {}, b'order')
+        if answer.status != 200:
+            raise RuntimeError(f'no service: {answer}')
+        answers.append(answer)
     connection.close()
-    return answer
+    return answers
 
 
 world.run(case, sys.argv[1])
--- a/review/kit/server.py
+++ b/review/kit/server.py
@@ -12,6 +12,7 @@
 
 HEARTBEAT_S = 1.2
 
+
 class Server:
     """Runs requests one after the other on each connection.
 
--- a/review/kit/world.py
+++ b/review/kit/world.py
@@ -26,6 +26,18 @@
 STORE_PORT, LINK_PORT, FRONT_PORT = 8142, 8144, 8149
 READY_PORT, REGISTRY_PORT, PEER_PORT = 8141, 8143, 7380
 SERVER_PORT = 8320
+METRICS_PORT = 9464
+PORTS = (
+    STORE_PORT,
+    LINK_PORT,
+    FRONT_PORT,
+    READY_PORT,
+    REGISTRY_PORT,
+    PEER_PORT,
+    SERVER_PORT,
+    METRICS_PORT,
+)
+TIME_LIMIT_S = 105
 BOUNDS = {
     'stable_window_ms': 3000,
     'catch_up_s': 4.8,
@@ -175,7 +187,7 @@
     def __init__(self, folder, archives=3, entries=3):
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
-        self.base = f'127.{random.randint(20, 250)}.{random.randint(1, 250)}'
+        self.base = _find_free_base()
         self.store = Store()
         self.store_address = f'{self.base}.1:{STORE_PORT}'
         self.archives = [
@@ -208,7 +220,6 @@
 
     async def start(self, configuration, servers):
         """Start the store, the servers and all instances."""
-        self._check_ports()
         await self.serve(self.store.app(), f'{self.base}.1', STORE_PORT)
         self.configure(configuration)
         for server in servers:
@@ -220,10 +231,6 @@
         # Traffic starts some seconds after the machines do.
         await asyncio.sleep(4)
 
-    def _check_ports(self):
-        with socket.socket() as sock:
-            sock.bind((f'{self.base}.1', STORE_PORT))
-
     def configure(self, configuration):
         """Write a configuration as the operator does."""
         value = json.dumps(configuration).encode()
@@ -282,18 +289,40 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _find_free_base():
+    """Return the start of loopback addresses whose ports are free."""
+    for _ in range(50):
+        base = f'127.{random.randint(20, 250)}.{random.randint(1, 250)}'
+        if all(_is_free(f'{base}.1', port) for port in PORTS):
+            return base
+    raise SystemExit(2)
+
+
+def _is_free(ip, port):
+    with socket.socket() as sock:
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 def run(case, folder, **options):
     """Run a case; exit with 1 if it finds the rule broken, 2 on an error."""
 
     async def main():
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         world = World(folder, **options)
         try:
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(TIME_LIMIT_S):
                 broken = await case(world)
             world.record.line(f'result: {broken or "the rule held"}')
             print(broken or 'the rule held')
             return 1 if broken else 0
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.record.line(f'could not run: {error!r}')
             print(f'could not run: {error!r}')
             return 2
