--- a/review/kit/server.py
+++ b/review/kit/server.py
@@ -4,6 +4,7 @@
 import hashlib
 import itertools
 import json
+import random
 import time
 
 from aiohttp import web
@@ -94,6 +95,7 @@
         )
 
     async def beat(self):
+        await asyncio.sleep(random.uniform(0, HEARTBEAT_S))
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             if self._runner is not None:
