--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """A planned stop cuts streams that a leaving entry accepts late."""
 
 import asyncio
+import os
 import signal
 import sys
 
@@ -9,6 +10,7 @@
 from review.kit import server
 from review.kit import world
 
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 STREAM_EVENTS, EVENT_GAP_S = 15, 0.2
 CLIENTS, SPACING_S = 12, 0.5
 EXCUSED_S = 3.0
@@ -94,7 +96,7 @@
 
 
 async def _stop(w, entry):
-    if not world.has_trouble():
+    if not HAS_TROUBLE:
         return
     entry.signal(signal.SIGTERM)
     try:
@@ -106,4 +108,5 @@
     await entry.start()
 
 
+# The argument is the path of record.txt.
 world.run(case, sys.argv[1])
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """Followers of a watcher that reads the store in pages miss a change."""
 
 import asyncio
+import os
 import sys
 
 from review.kit import client
@@ -8,6 +9,7 @@
 from review.kit import server
 from review.kit import world
 
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 PAGE_ITEMS = 50
 SERVERS = 60
 SLOW_S, SLOW_FOR_S = 0.2, 4.5
@@ -53,12 +55,12 @@
         await _send(w, entry, 3)
     store = w.store
     started_s = w.record.now_s()
-    if world.has_trouble():
+    if HAS_TROUBLE:
         w.record.line('the store answers slowly, and watches hear nothing')
         store.switches.delay_s = SLOW_S
         store.is_silent = True
     await asyncio.sleep(SILENT_S)
-    if world.has_trouble():
+    if HAS_TROUBLE:
         store.compact_history()
         store.is_silent = False
         w.record.line('the store has dropped its history')
@@ -111,4 +113,5 @@
     return answers
 
 
+# The argument is the path of record.txt.
 world.run(case, sys.argv[1])
--- a/review/kit/world.py
+++ b/review/kit/world.py
@@ -57,8 +57,8 @@
 class Record:
     """Writes what was sent, answered and run to `record.txt`."""
 
-    def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / 'record.txt', 'w')
+    def __init__(self, path):
+        self._file = open(path, 'w')
         self._started_s = time.monotonic()
 
     def now_s(self):
@@ -184,8 +184,8 @@
 class World:
     """The deployment, its store and its servers."""
 
-    def __init__(self, folder, archives=3, entries=3):
-        self.record = Record(folder)
+    def __init__(self, record_path, archives=3, entries=3):
+        self.record = Record(record_path)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.base = _find_free_base()
         self.store = Store()
@@ -307,7 +307,7 @@
     return True
 
 
-def run(case, folder, **options):
+def run(case, record_path, **options):
     """Run a case; exit with 1 if it finds the rule broken, 2 on an error."""
 
     async def main():
@@ -315,7 +315,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, task.cancel)
-        world = World(folder, **options)
+        world = World(record_path, **options)
         try:
             async with asyncio.timeout(TIME_LIMIT_S):
                 broken = await case(world)
@@ -330,7 +330,3 @@
             await world.close()
 
     raise SystemExit(asyncio.run(main()))
-
-
-def has_trouble():
-    return os.environ.get('TROUBLE', '1') != '0'
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Runs the case in a folder with the dependencies of the deploy file's build.
+# Runs a case with the dependencies of the deploy file's build.
+# Usage: run_case.sh CASE.PY RECORD.TXT
 set -uo pipefail
-folder="$(cd "$1" && pwd)"
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 export PYTHONPATH="$PWD/target/deps:$PWD"
-exec timeout -k 2 118 python3 "$folder/case.py" "$folder"
+exec timeout -k 2 118 python3 "$1" "$2"
