Refuse what a stopping entry could not end

Cause: a stopping entry closed its listening socket after 3 s and then served every request on its open connections for as long as anything was in flight, without regard to the request's time limit. Two more ways were found by reading: a request whose body was still arriving, or whose answer was still being read, was not counted, so the process could exit in between; and what arrived while the listener closed was handled, then cancelled after 0.3 s.

Change: PlannedStop holds the times of a stop. After the listening socket is closed, a request is admitted only if its time limit ends before the process does; others get 503 (not run, Retry-After 0, connection closed) before anything is sent to a server. Idle connections are closed with the listening socket, so that their callers go elsewhere without a refusal; those that have not had a request yet stay open. The drain waits for everything the listener holds. Nothing is admitted while it closes. Log: stopping_refused, drained; gauge refused_at_stop.

--- a/balsamdale/caller_connection.py
+++ b/balsamdale/caller_connection.py
@@ -27,6 +27,12 @@
         transport.max_size = READ_BUFFER_BYTES
         super().connection_made(transport)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether it has had a response and no part of a next request."""
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        return is_waiting and self._request_count > 0 == self._unused_bytes
+
     def data_received(self, data):
         """Parse data; end a connection that sends no request without end."""
         if self._parse(data):
@@ -61,5 +67,14 @@
 class Server(web.Server):
     """A server whose connections are of class `Connection`."""
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being handled.
+
+        Those that have not had a request yet stay open: it may be on its way.
+        """
+        for connection in self.connections:
+            if connection.is_idle:
+                connection.force_close()
+
     def __call__(self):
         return Connection(self, loop=self._loop, **self._kwargs)
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -18,6 +18,7 @@
 from balsamdale import node
 from balsamdale import node_settings
 from balsamdale import pauses
+from balsamdale import planned_stop
 from balsamdale import quarantine
 from balsamdale import quorum
 from balsamdale import quota
@@ -33,11 +34,6 @@
 __all__ = ['EntryNode']
 
 EXPIRY_CHECK_INTERVAL_S = 0.25
-# Time for which a leaving entry still serves callers that cached its address:
-# longer than they keep a response of the registry.
-STALE_REGISTRY_DRAIN_S = 3.0
-# Part of the platform's grace period that is reserved for closing.
-CLOSE_RESERVE_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.05
 # Crashes with the same request in flight after which it is quarantined; two
 # can be a coincidence if servers crash for other reasons.
@@ -229,6 +225,10 @@
                 'Bodies, prompts, responses and output of requests',
                 lambda: self.listener.budget.held_bytes,
             ),
+            'refused_at_stop': (
+                'Requests that could not be ended before a planned stop',
+                lambda: self.listener.refused_at_stop,
+            ),
             'bodies_refused': (
                 'Bodies refused for lack of memory',
                 lambda: self.listener.budget.refused_bodies,
@@ -259,18 +259,23 @@
         }
 
     async def leave(self) -> None:
-        self.listener.is_leaving = True
+        stop = planned_stop.PlannedStop(_loop_time_s(), self.settings.grace_s)
+        self.listener.begin_stop(stop)
         await super().leave()
         self.server_paths.leave()
-        drain_s = self.settings.grace_s - CLOSE_RESERVE_S
-        deadline_s = _loop_time_s() + drain_s
-        await asyncio.sleep(min(STALE_REGISTRY_DRAIN_S, drain_s / 2))
+        await asyncio.sleep(stop.stops_accepting_s - _loop_time_s())
         # Under load there would always be a request that was just accepted.
         await self.listener.stop_accepting()
-        while _loop_time_s() < deadline_s and (
-            self.handler.in_flight or self.server_paths.count_sending()
+        while _loop_time_s() < stop.ends_s and (
+            self.listener.count_open() or self.server_paths.count_sending()
         ):
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        decisions.record(
+            'drained',
+            open_requests=self.listener.count_open(),
+            sent_for_others=self.server_paths.count_sending(),
+            refused_at_stop=self.listener.refused_at_stop,
+        )
 
     async def close(self) -> None:
         await self.listener.close()
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -13,6 +13,7 @@
 from balsamdale import caller_connection
 from balsamdale import decisions
 from balsamdale import errors
+from balsamdale import planned_stop
 from balsamdale import request_state
 from balsamdale import routes
 from balsamdale.scheduling import memory
@@ -45,8 +46,8 @@
         budget: memory that requests may hold; no limit by default.
 
     Attributes:
-        is_leaving: whether this instance stops, so that connections close
-            after each response.
+        refused_at_stop: requests refused because they could not be ended
+            before this instance stops.
     """
 
     def __init__(
@@ -64,11 +65,19 @@
         self._limits = limits
         self._runner: web.ServerRunner | None = None
         self._is_checking = False
-        self.is_leaving = False
+        self._server: caller_connection.Server | None = None
+        self._planned_stop: planned_stop.PlannedStop | None = None
+        self._is_closing = False
+        self.refused_at_stop = 0
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether connections are closed after each response."""
+        return self._planned_stop is not None or self._is_closing
 
     async def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
-        server = caller_connection.Server(
+        self._server = caller_connection.Server(
             self._handle,
             request_factory=self._request,
             handler_cancellation=True,
@@ -80,7 +89,7 @@
             read_bufsize=caller_connection.READ_BUFFER_BYTES,
         )
         self._runner = web.ServerRunner(
-            server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
         await self._runner.setup()
         site = web.SockSite(
@@ -90,13 +99,30 @@
         )
         await site.start()
 
+    def begin_stop(self, stop: planned_stop.PlannedStop) -> None:
+        """Refuse from now on what cannot end before this instance does."""
+        self._planned_stop = stop
+
     async def stop_accepting(self) -> None:
-        """Accept no new connections; open ones are served on."""
+        """Accept no new connections, and close those that are idle.
+
+        The others are served on.
+        """
         for site in list(self._runner.sites):
             await site.stop()
+        self._server.close_idle()
+
+    def count_open(self) -> int:
+        """Return the requests that are received, handled or answered."""
+        return len(self._responders)
 
     async def close(self) -> None:
-        """Close the listener and all connections."""
+        """Close the listener and all connections.
+
+        What is in progress gets a short time to end; what arrives meanwhile
+        is refused.
+        """
+        self._is_closing = True
         self._background.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
@@ -144,6 +170,8 @@
             )
         except errors.Refused as refused:
             return _bad_request(request, refused)
+        if not self._is_admitted(call):
+            return self._refuse_at_stop(call)
         await self._handler.serve(call, responder)
         del body, call
         await responder.flush()
@@ -167,6 +195,42 @@
         self.budget.end_input(holding)
         return bytes(body)
 
+    def _is_admitted(self, call):
+        """Return whether a request can end before this instance does."""
+        if self._is_closing:
+            return False
+        if self._planned_stop is None:
+            return True
+        now_s = _now_s()
+        deadline_s = now_s + self._handler.time_limit_s(call)
+        return self._planned_stop.admits(deadline_s, now_s)
+
+    def _refuse_at_stop(self, call):
+        """Return the refusal of a request that could not be ended.
+
+        Its caller may come back at once: the other instances serve.
+        """
+        refused = errors.Refused(
+            'stopping', 503, 'this instance stops', 'no', 0.0
+        )
+        self.refused_at_stop += 1
+        decisions.record(
+            'stopping_refused',
+            id=call.request_id,
+            time_limit_s=round(self._handler.time_limit_s(call), 3),
+        )
+        return self._refusal(call, refused)
+
+    def _refusal(self, call, refused):
+        response = web.Response(status=refused.status)
+        for name, value in self._wire_format.refusal_headers(
+            call.request_id, refused
+        ):
+            response.headers.add(name, value)
+        if self.is_leaving:
+            response.force_close()
+        return response
+
     def _refuse_body(self, request, refused):
         """Return the refusal of a request whose body is not read.
 
@@ -179,14 +243,10 @@
             )
         except errors.Refused as malformed:
             return _bad_request(request, malformed)
-        response = web.Response(status=refused.status)
-        for name, value in self._wire_format.refusal_headers(
-            call.request_id, refused
-        ):
-            response.headers.add(name, value)
+        response = self._refusal(call, refused)
         length = request.content_length
         is_short = length is not None and length <= MAX_SKIPPED_BODY_BYTES
-        if self.is_leaving or 'Expect' in request.headers or not is_short:
+        if 'Expect' in request.headers or not is_short:
             response.force_close()
         decisions.record(
             'body_refused',
--- /dev/null
+++ b/balsamdale/planned_stop.py
@@ -0,0 +1,47 @@
+"""Times of a planned stop of an entry, and what it still admits."""
+
+import dataclasses
+
+__all__ = ['PlannedStop']
+
+# Time for which callers that cached this instance's address still come:
+# longer than they keep a response of the registry.
+STALE_REGISTRY_DRAIN_S = 3.0
+# Part of the platform's grace period that is reserved for closing.
+CLOSE_RESERVE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class PlannedStop:
+    """A planned stop; all times are of one monotonic clock, in seconds.
+
+    Attributes:
+        started_s: time of the signal.
+        grace_s: time from the signal until the process is killed.
+    """
+
+    started_s: float
+    grace_s: float
+
+    @property
+    def stops_accepting_s(self) -> float:
+        """Time from which no new connection is accepted."""
+        drain_s = self.grace_s - CLOSE_RESERVE_S
+        return self.started_s + min(STALE_REGISTRY_DRAIN_S, drain_s / 2)
+
+    @property
+    def ends_s(self) -> float:
+        """Time at which the remaining connections are closed."""
+        return self.started_s + self.grace_s - CLOSE_RESERVE_S
+
+    def admits(self, deadline_s: float, now_s: float) -> bool:
+        """Return whether a request is handled, or else refused.
+
+        While callers still come by the registry, all are: most end long
+        before their deadlines. Later, only what ends before the process does.
+
+        Args:
+            deadline_s: latest end of the request.
+            now_s: present time.
+        """
+        return now_s < self.stops_accepting_s or deadline_s <= self.ends_s
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -82,6 +82,12 @@
             took_s = context.clock() - started_s
             self._record_outcome(call, state, took_s, code, reason)
 
+    def time_limit_s(self, call: wire.Call) -> float:
+        """Return how long a request may take; 0 if none can serve it."""
+        table = self._context.table()
+        route = table and table.match(call.host, call.path)
+        return _time_limit_s(route, call) if route is not None else 0.0
+
     def _create_state(self, call, responder, now_s):
         table = self._context.table()
         if table is None:
@@ -102,9 +108,6 @@
             raise errors.Refused(
                 'quarantined', 503, 'this request has crashed backend servers'
             )
-        timeout_s = route.timeout_s
-        if call.timeout_s is not None:
-            timeout_s = min(timeout_s, call.timeout_s)
         hash_value = zlib.crc32((call.program_id or call.request_id).encode())
         workspace_name = workspace.name if workspace is not None else ''
         return request_state.RequestState(
@@ -115,7 +118,9 @@
             version=table.version,
             started_s=now_s,
             # It may have waited unread since before a pause.
-            deadline_s=now_s + timeout_s - self._context.paused_s(),
+            deadline_s=now_s
+            + _time_limit_s(route, call)
+            - self._context.paused_s(),
             workspace=workspace,
             is_first_turn=route.stores_turns and not call.parent_id,
             record_ids=request_state.record_ids(call, table, workspace),
@@ -317,6 +322,12 @@
         decisions.record('request', **fields)
 
 
+def _time_limit_s(route, call):
+    if call.timeout_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, call.timeout_s)
+
+
 def _timed_out(state):
     if state.attempts:
         return errors.Refused(
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,10 +1,11 @@
-"""Test of a planned stop of an entry under load."""
+"""Tests of a planned stop of an entry under load."""
 
 import asyncio
 import itertools
 
 import aiohttp
 
+from balsamdale import planned_stop
 from tests import routed_site
 
 CALLERS = 12
@@ -55,3 +56,179 @@
         assert not [i for i in cut_ids if deployment.run_count(i)]
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_only_what_ends_in_time_is_admitted_late():
+    stop = planned_stop.PlannedStop(100.0, 8.0)
+    assert (stop.stops_accepting_s, stop.ends_s) == (103.0, 107.0)
+    assert stop.admits(109.0, 102.9)
+    assert not stop.admits(107.1, 103.1)
+    assert stop.admits(107.0, 106.0)
+
+
+def test_short_grace_period_is_shared_by_both_parts():
+    stop = planned_stop.PlannedStop(100.0, 3.0)
+    assert (stop.stops_accepting_s, stop.ends_s) == (101.0, 102.0)
+
+
+class OpenConnection:
+    """A caller's connection to an entry, which it keeps for each request."""
+
+    def __init__(self, deployment, entry='entry-a'):
+        address = deployment.nodes[entry].settings.entry_address
+        self._host, _, self._port = address.rpartition(':')
+        self.response_head = ''
+
+    async def open(self):
+        self._reader, self._writer = await asyncio.open_connection(
+            self._host, int(self._port)
+        )
+        return self
+
+    def send(self, path, request_id, body=b'', length=None, **headers):
+        """Send a request, or the first part of one that is longer."""
+        fields = {
+            'Host': routed_site.HOST,
+            'X-Request-Id': request_id,
+            'X-Deadline-Ms': '3000',
+            'Content-Length': length if length is not None else len(body),
+            **headers,
+        }
+        lines = ''.join(f'{k}: {v}\r\n' for k, v in fields.items())
+        self._writer.write(
+            f'POST {path} HTTP/1.1\r\n{lines}\r\n'.encode() + body
+        )
+
+    def send_rest(self, data):
+        self._writer.write(data)
+
+    async def receive(self):
+        """Return the status of a response, and whether its body is whole."""
+        head = (await self._reader.readuntil(b'\r\n\r\n')).decode()
+        self.response_head = head.lower()
+        if 'content-length: 0' in self.response_head:
+            return int(head.split()[1]), True
+        body = b''
+        while not body.endswith(b'0\r\n\r\n'):
+            part = await self._reader.read(65536)
+            if not part:
+                return int(head.split()[1]), False
+            body += part
+            if 'chunked' not in self.response_head:
+                break
+        return int(head.split()[1]), True
+
+    async def is_closed(self, timeout_s):
+        """Return whether the entry closes it within a time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return not await self._reader.read(1)
+        except TimeoutError:
+            return False
+
+    def close(self):
+        self._writer.close()
+
+
+STREAM = {'X-Token-Usage': '100,300', 'X-Program-Id': 'p'}
+
+
+async def stream_until(connection, deployment, request_id):
+    """Send a stream on a connection and wait until it has begun."""
+    connection.send('/drafts/x', request_id, **STREAM)
+    await deployment.wait_until(lambda: deployment.run_count(request_id))
+
+
+def set_stream_length(deployment, events, event_gap_s):
+    for server in deployment.servers.values():
+        server.switches.events = events
+        server.switches.event_gap_s = event_gap_s
+
+
+def test_late_request_that_a_stopping_entry_cannot_end_is_refused(tmp_path):
+    """Guards against streams that are cut when the grace period ends.
+
+    The connection is in use at SIGTERM and carries its next request later.
+    """
+
+    async def scenario(deployment):
+        entry = await deployment.start('entry-c', 'entry', grace_s=5.0)
+        await deployment.wait_until(entry.is_ready)
+        await deployment.wait_until(lambda: entry.directory.ready('engines'))
+        set_stream_length(deployment, 25, 0.1)
+        connection = await OpenConnection(deployment, 'entry-c').open()
+        await stream_until(connection, deployment, 'early')
+        stopped = asyncio.create_task(leave_and_close(deployment, 'entry-c'))
+        assert await connection.receive() == (200, True)
+        # A deadline of 3 s is later than the end of the process.
+        connection.send('/drafts/x', 'late', **STREAM)
+        assert await connection.receive() == (503, True)
+        assert 'connection: close' in connection.response_head
+        assert 'retry-after: 0.000' in connection.response_head
+        await stopped
+        assert deployment.run_count('late') == 0
+        assert deployment.run_count('early') == 1
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_late_request_that_a_stopping_entry_can_end_is_served(tmp_path):
+    async def scenario(deployment):
+        entry = await deployment.start('entry-c', 'entry', grace_s=5.0)
+        await deployment.wait_until(entry.is_ready)
+        await deployment.wait_until(lambda: entry.directory.ready('plain'))
+        set_stream_length(deployment, 23, 0.1)
+        connection = await OpenConnection(deployment, 'entry-c').open()
+        await stream_until(connection, deployment, 'early')
+        stopped = asyncio.create_task(leave_and_close(deployment, 'entry-c'))
+        assert await connection.receive() == (200, True)
+        connection.send('/reads/x', 'late', b'b')
+        assert await connection.receive() == (200, True)
+        await stopped
+
+    routed_site.run(tmp_path, scenario)
+
+
+async def leave_and_close(deployment, name):
+    entry = deployment.nodes.pop(name)
+    await entry.leave()
+    await entry.close()
+
+
+def test_idle_connections_are_closed_with_the_listening_socket(tmp_path):
+    """Guards against callers that use them when nothing can be ended."""
+
+    async def scenario(deployment):
+        idle = await OpenConnection(deployment).open()
+        idle.send('/reads/x', 'first', b'b')
+        assert await idle.receive() == (200, True)
+        unused = await OpenConnection(deployment).open()
+        set_stream_length(deployment, 5, 0.1)
+        busy = await OpenConnection(deployment).open()
+        await stream_until(busy, deployment, 'stream')
+        stopped = asyncio.create_task(leave_and_close(deployment, 'entry-a'))
+        # The listening socket is closed after 0.25 s, the stream later.
+        assert await idle.is_closed(0.4)
+        # Its first request may be on its way.
+        assert not await unused.is_closed(0.01)
+        assert await busy.receive() == (200, True)
+        await stopped
+        unused.close()
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_request_that_is_being_received_delays_a_planned_stop(tmp_path):
+    """Guards against closing while a body arrives or an answer is read."""
+
+    async def scenario(deployment):
+        connection = await OpenConnection(deployment).open()
+        connection.send('/reads/x', 'slow', b'b', length=2)
+        await asyncio.sleep(0.1)
+        stopped = asyncio.create_task(leave_and_close(deployment, 'entry-a'))
+        await asyncio.sleep(0.35)
+        connection.send_rest(b'c')
+        assert (await connection.receive())[1]
+        await stopped
+
+    routed_site.run(tmp_path, scenario)
