Count an entry's grace period from the signal, not from the store's reply

While the key-value service took calls and did not reply, a stopping entry spent 5.5 s on announcing and revoking its lease before it began to drain, and counted the whole drain from then. It was still serving when the platform killed it at grace_s, and until then it accepted connections and sent requests for peers, which were cut with it.

Test: test_planned_stop_ends_in_time_while_the_store_is_silent failed before (it still took new connections and requests for peers after 0.6 s of 1.5 s).

--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -261,8 +261,9 @@
     async def leave(self) -> None:
         stop = planned_stop.PlannedStop(_loop_time_s(), self.settings.grace_s)
         self.listener.begin_stop(stop)
-        await super().leave()
         self.server_paths.leave()
+        # A store that does not reply must not use up the grace period.
+        self._background.spawn(super().leave())
         await asyncio.sleep(stop.stops_accepting_s - _loop_time_s())
         # Under load there would always be a request that was just accepted.
         await self.listener.stop_accepting()
--- a/balsamdale/server_paths.py
+++ b/balsamdale/server_paths.py
@@ -140,6 +140,11 @@
         """Whether there are servers that only other entries reach."""
         return bool(self._lost)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether no further requests are sent for other entries."""
+        return self._relay.is_leaving
+
     def leave(self) -> None:
         """Send no further requests for other entries."""
         self._relay.is_leaving = True
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -4,6 +4,7 @@
 import itertools
 
 import aiohttp
+import pytest
 
 from balsamdale import planned_stop
 from tests import routed_site
@@ -232,3 +233,23 @@
         await stopped
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_planned_stop_ends_in_time_while_the_store_is_silent(tmp_path):
+    """Guards against serving on until the platform kills the process."""
+
+    async def scenario(deployment):
+        deployment.store.switches.delay_s = 30.0
+        entry = deployment.nodes['entry-a']
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        stopping = asyncio.create_task(entry.leave())
+        await asyncio.sleep(0.6)
+        # It sends for no peer and takes no new caller.
+        assert entry.server_paths.is_leaving
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await deployment.post('/reads/x')
+        await stopping
+        assert loop.time() - started_s < entry.settings.grace_s
+
+    routed_site.run(tmp_path, scenario)
