Leave a stopping entry out of its own registry answers

Callers that asked a stopping entry where to connect were told its own address for as long as its copy had its registration: for the whole stop, if the key-value service did not reply. They kept that address for up to 6 s, beyond the time in which the entry accepts connections.

Test: test_registry_of_a_stopping_entry_does_not_name_it failed before, with the entry's own address among the two that it answered.

--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -329,9 +329,12 @@
         yield members.Heard()
 
     def _addresses(self, failure_domain):
-        return registry.addresses(
-            self.member_directory.entries(), failure_domain
-        )
+        entries = self.member_directory.entries()
+        if self.member_directory.is_leaving:
+            # Its own copy may still have its registration.
+            own_id = self.settings.instance_id
+            entries = tuple(e for e in entries if e.instance_id != own_id)
+        return registry.addresses(entries, failure_domain)
 
     def _table_changed(self, key, value):
         if key != self.adapter.route_table_key or value is None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 
 import aiohttp
 import pytest
@@ -253,3 +254,24 @@
         assert loop.time() - started_s < entry.settings.grace_s
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_registry_of_a_stopping_entry_does_not_name_it(tmp_path):
+    """Its registration stays in its own copy while the store is away."""
+
+    async def scenario(deployment):
+        deployment.store.switches.refuse_status = 503
+        entry = deployment.nodes['entry-a']
+        stopping = asyncio.create_task(entry.leave())
+        await asyncio.sleep(0.05)
+        url = (
+            f'http://{entry.settings.registry_address}/api/resolve'
+            '?name=h.example&region=r&zone=a'
+        )
+        async with deployment.client.get(url) as response:
+            resolved = json.loads(await response.read())
+        other = deployment.nodes['entry-b'].settings.entry_address
+        assert resolved['addresses'] == [other]
+        await stopping
+
+    routed_site.run(tmp_path, scenario)
