Reject a page of the store that is neither last nor has items

A reply that says that more pages follow, and has no item to go on from, was taken for the last page: the keys after it would have counted as removed.

Test: test_page_without_items_is_not_taken_for_the_last_one failed before.

--- a/balsamdale/platform/store.py
+++ b/balsamdale/platform/store.py
@@ -80,8 +80,12 @@
             # Later pages may be newer than the first; the caller watches from
             # the first page's revision, so that no change is missed.
             revision = revision or page.store_revision
-            if not page.truncated or not page.items:
+            if not page.truncated:
                 return tuple(pairs), revision
+            if not page.items:
+                raise errors.KeyValueUnavailable(
+                    'a page without items is not the last one', False
+                )
             last_key = page.items[-1].key
 
     async def compare_and_swap(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -186,3 +186,16 @@
             await client.scan('')
 
     run_client(store.PlatformKeyValue, scenario, Endless(UNFRAMED_HEAD, ' '))
+
+
+def test_page_without_items_is_not_taken_for_the_last_one():
+    """Keys that are missing from a snapshot count as removed."""
+
+    async def scenario(client):
+        with pytest.raises(errors.KeyValueUnavailable, match='page'):
+            await client.scan('')
+
+    text = UNFRAMED_HEAD + (
+        '{"items": [], "truncated": true, "store_revision": 9}<end>'
+    )
+    run_client(store.PlatformKeyValue, scenario, text)
