Take a copy's position only from its source's own revision

The watcher logged these for its followers, and a follower took the revision of the last change in a reply for its position, not the watcher's revision. It then asked for the changes after that, and never got those between the two.

Fix: writes later than the copy's revision are applied to the own copy only, and logged once the watch has reached them, so a follower of an older build gets none either; only `through` moves a follower; changes of older builds that are ahead of it are applied without moving it.

--- a/balsamdale/follower.py
+++ b/balsamdale/follower.py
@@ -233,7 +233,9 @@
                 watcher_id, request, PEER_WATCH_WAIT_S + PEER_TIMEOUT_S
             )
             if reply.is_watching and not reply.is_complete:
-                await self._pull_copy(watcher_id)
+                # One that was away may have read its copy after an outage.
+                was_away = watcher_id in self._avoided_until_s
+                await self._pull_copy(watcher_id, was_away)
         except errors.LinkError as error:
             self._avoid(watcher_id, UNREACHABLE_WATCHER_AVOIDED_S, str(error))
             return
@@ -249,26 +251,39 @@
         self._avoided_until_s.pop(watcher_id, None)
         self._set_connected()
         self._apply_from_watcher(reply)
+        if reply.changes and self.mirror.revision == request.through:
+            # An older build replies at once with what it is not complete at.
+            await asyncio.sleep(WATCH_INTERVAL_S)
 
     def _apply_from_watcher(self, reply):
-        """Apply a watcher's changes, those of an outage marked as such."""
+        """Apply a watcher's changes, those of an outage marked as such.
+
+        Only `through` tells up to where the watcher's copy is complete: older
+        builds also pass on later writes that a snapshot in pages has.
+        """
         was_catching_up = self.is_catching_up
         if reply.is_complete:
+            changes = sorted(
+                reply.changes, key=operator.attrgetter('revision')
+            )
             groups = itertools.groupby(
-                reply.changes, operator.attrgetter('is_catching_up')
+                changes, operator.attrgetter('is_catching_up')
             )
             for is_catching_up, group in groups:
-                changes = list(group)
                 self.is_catching_up = was_catching_up or is_catching_up
-                self._apply(changes, changes[-1].revision, self.is_catching_up)
-            self._apply([], reply.through, False)
+                self.mirror.apply_part(
+                    group, reply.through, self.is_catching_up
+                )
+            self.mirror.apply_changes([], reply.through)
+            if changes:
+                self._wake_followers()
         self.is_catching_up = False
 
     async def _follow_service(self):
         if not self._is_loaded:
             pairs, revision = await self._store.scan('')
             self._set_connected()
-            self.mirror.load_snapshot(pairs, revision, self.is_catching_up)
+            self.mirror.load_snapshot(pairs, revision)
             self._is_loaded = self._is_watching = True
             self.is_catching_up = False
             self._wake_followers()
@@ -346,14 +361,18 @@
             self._avoid(peer_id, UNREACHABLE_WATCHER_AVOIDED_S, str(error))
             return False
 
-    async def _pull_copy(self, peer_id):
+    async def _pull_copy(self, peer_id, is_catching_up=False):
         copy = await self._links.request(
             peer_id, messages.PullMirror(self.mirror.revision), PULL_TIMEOUT_S
         )
         pairs = (keyvalue.Pair(*pair_fields) for pair_fields in copy.keys)
-        if copy.keys and self.mirror.load_snapshot(
-            pairs, copy.through, self.is_catching_up
-        ):
+        was_catching_up = self.is_catching_up
+        self.is_catching_up = was_catching_up or is_catching_up
+        is_loaded = copy.keys and self.mirror.load_snapshot(
+            pairs, copy.through
+        )
+        self.is_catching_up = was_catching_up
+        if is_loaded:
             self.pulls += 1
             self._is_loaded = True
             self._wake_followers()
--- a/balsamdale/mirror.py
+++ b/balsamdale/mirror.py
@@ -1,10 +1,15 @@
 """Mirror: a local copy of the key-value service's keys, without I/O.
 
-`follower` keeps it up to date. The revision of a copy never decreases.
+`follower` keeps it up to date. The revision of a copy never decreases. A copy
+is complete up to its revision and may have later writes of some keys: a
+snapshot that is read in pages is complete up to its first page. Those writes
+are not logged for followers before the copy's revision has reached them, so
+that the position of a follower is always one that its source was complete at.
 """
 
 import collections
 from collections import abc as collections_abc
+import operator
 
 from balsamdale import codec
 from balsamdale import keyvalue
@@ -39,7 +44,7 @@
 
     Attributes:
         revision: revision up to which the copy is complete.
-        last_change_revision: revision of the last change in the copy.
+        last_change_revision: revision of the last change up to `revision`.
     """
 
     def __init__(self):
@@ -78,40 +83,38 @@
         self,
         pairs: collections_abc.Iterable[keyvalue.Pair],
         revision: int,
-        is_catching_up: bool = False,
     ) -> bool:
         """Replace the copy; return False if it is newer than the snapshot.
 
+        Keys of which the copy has a later write keep it.
+
         Args:
             pairs: all keys.
-            revision: revision of the snapshot.
-            is_catching_up: whether the changes were made during an outage.
+            revision: revision up to which the snapshot is complete.
         """
         if revision < self.revision:
             return False
-        if not self.revision:
-            self._log_start = revision
         new_pairs = {pair.key: pair for pair in pairs}
-        removed_keys = sorted(self._pairs.keys() - new_pairs.keys())
-        changed_pairs = [
-            pair
-            for key, pair in new_pairs.items()
-            if key not in self._pairs
-            or self._pairs[key].revision < pair.revision
+        removed_keys = [
+            key
+            for key in sorted(self._pairs.keys() - new_pairs.keys())
+            if self._pairs[key].revision <= revision
         ]
-        changed_pairs.sort(key=lambda pair: pair.revision)
         changes = [
-            LoggedChange(pair.key, pair.value, pair.revision, is_catching_up)
-            for pair in changed_pairs
+            keyvalue.Change(pair.key, pair.value, pair.revision)
+            for pair in new_pairs.values()
         ]
+        changes.sort(key=operator.attrgetter('revision'))
         changes += [
-            LoggedChange(key, None, revision, is_catching_up)
-            for key in removed_keys
+            keyvalue.Change(key, None, revision) for key in removed_keys
         ]
-        self.revision = revision
-        self._pairs = new_pairs
         for change in changes:
-            self._announce(change)
+            if self._apply(change):
+                self._record_change(min(change.revision, revision))
+        # Keys that came and went between two snapshots are in neither.
+        self._log.clear()
+        self._log_bytes = 0
+        self._log_start = self.revision = revision
         return True
 
     def apply_changes(
@@ -127,21 +130,32 @@
             revision: revision up to which they are complete.
             is_catching_up: whether they were made during an outage.
         """
+        self.apply_part(changes, revision, is_catching_up)
+        self.revision = max(self.revision, revision)
+
+    def apply_part(
+        self,
+        changes: collections_abc.Iterable[keyvalue.Change | LoggedChange],
+        revision: int,
+        is_catching_up: bool,
+    ) -> None:
+        """Apply a part of the changes up to a revision, without reaching it.
+
+        The arguments are those of `apply_changes`.
+        """
         for change in changes:
             if change.revision <= self.revision:
                 continue
-            if change.value is None:
-                self._pairs.pop(change.key, None)
-            else:
-                self._pairs[change.key] = keyvalue.Pair(
-                    change.key, change.value, change.revision
-                )
-            self._announce(
-                LoggedChange(
-                    change.key, change.value, change.revision, is_catching_up
+            if change.revision <= revision:
+                self._log_change(
+                    LoggedChange(
+                        change.key,
+                        change.value,
+                        change.revision,
+                        is_catching_up,
+                    )
                 )
-            )
-        self.revision = max(self.revision, revision)
+            self._apply(change)
 
     def snapshot(self) -> tuple[tuple[str, bytes, int], ...]:
         """Return every key with its value and revision."""
@@ -161,17 +175,33 @@
             later.append(change)
         return tuple(reversed(later))
 
-    def _announce(self, change):
-        """Log a change that was applied and call the listeners."""
-        self.last_change_revision = max(
-            self.last_change_revision, change.revision
-        )
+    def _apply(self, change):
+        """Apply a change unless a later write is held.
+
+        Returns:
+            Whether it was applied; the listeners were called then.
+        """
+        if change.revision <= self.get_revision(change.key):
+            return False
+        if change.value is None:
+            self._pairs.pop(change.key, None)
+        else:
+            self._pairs[change.key] = keyvalue.Pair(
+                change.key, change.value, change.revision
+            )
+        for prefix, listener in self._listeners:
+            if change.key.startswith(prefix):
+                listener(change.key, change.value)
+        return True
+
+    def _record_change(self, revision):
+        self.last_change_revision = max(self.last_change_revision, revision)
+
+    def _log_change(self, change):
+        self._record_change(change.revision)
         self._log.append(change)
         self._log_bytes += len(change.key) + len(change.value or b'')
         while self._log_bytes > LOG_LIMIT_BYTES:
             oldest = self._log.popleft()
             self._log_bytes -= len(oldest.key) + len(oldest.value or b'')
             self._log_start = oldest.revision
-        for prefix, listener in self._listeners:
-            if change.key.startswith(prefix):
-                listener(change.key, change.value)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -8,6 +8,7 @@
 from balsamdale import keyvalue
 from balsamdale import link
 from balsamdale import mirror
+from balsamdale import mirror_messages as messages
 from tests import virtual
 
 
@@ -204,7 +205,7 @@
         self.followers = {}
         self.tasks = {}
         for name in self.names:
-            self.stores[name] = CountingProxy(self.store)
+            self.stores[name] = PagedProxy(self.store)
             self.followers[name] = follower.Follower(
                 mirror.Mirror(),
                 self.stores[name],
@@ -268,6 +269,54 @@
         return await super().changes(prefix, revision, wait_s)
 
 
+class PagedProxy(CountingProxy):
+    """A client of a slow store that returns one key a page."""
+
+    page_s = 0.0
+
+    async def scan(self, prefix):
+        pairs, revision = await super().scan(prefix)
+        if not self.page_s:
+            return pairs, revision
+        read = []
+        for key in [pair.key for pair in pairs]:
+            await asyncio.sleep(self.page_s)
+            pair = await self._store.get(key)
+            if pair is not None:
+                read.append(pair)
+        return tuple(read), revision
+
+    async def changes(self, prefix, revision, wait_s):
+        await asyncio.sleep(self.page_s)
+        return await super().changes(prefix, revision, wait_s)
+
+
+async def start_reading_in_pages(fleet, page_s):
+    """Have all watchers read their copies anew, key by key."""
+    for proxy in fleet.stores.values():
+        proxy.page_s = page_s
+    # The watches end with an error, as their history is gone.
+    await fleet.store.put('b', b'2')
+    fleet.store.compact()
+
+
+def record_watch_requests(fleet):
+    """Return a list of what watchers are asked, each request taking 1 ms."""
+    requests = []
+    for name in fleet.watchers:
+        links = fleet.followers[name]._links
+        serve = links._handlers[messages.WatchMirror]
+
+        async def record(sender, message, serve=serve):
+            requests.append(message)
+            await asyncio.sleep(0.001)
+            async for reply in serve(sender, message):
+                yield reply
+
+        links.serve(messages.WatchMirror, record)
+    return requests
+
+
 # Time in which a change of the configuration must be in force.
 CHANGE_IN_FORCE_S = 2.0
 
@@ -503,3 +552,116 @@
         assert heard == ['x']
 
     virtual.run(scenario())
+
+
+def test_change_during_a_snapshot_in_pages_reaches_all_followers():
+    """Guards against followers that take a later page for their position."""
+
+    async def scenario():
+        fleet = WatchedFleet(8, 4)
+        for key in 'abcdef':
+            await fleet.store.put(key, b'1')
+        record_watch_requests(fleet)
+        await fleet.start()
+        await start_reading_in_pages(fleet, 0.05)
+        await asyncio.sleep(0.2)
+        await fleet.store.put('a', b'2')
+        await fleet.store.put('f', b'2')
+        await asyncio.sleep(CHANGE_IN_FORCE_S)
+        assert not fleet.lagging('a', b'2')
+        assert not fleet.lagging('f', b'2')
+        for each in fleet.followers.values():
+            assert each.mirror.revision == fleet.store.revision
+
+    virtual.run(scenario())
+
+
+def test_followers_wait_for_a_watcher_with_an_early_part_of_its_copy():
+    """Guards against requests in a loop while the store is slow."""
+
+    async def scenario():
+        fleet = WatchedFleet(8, 4)
+        for key in 'abcdef':
+            await fleet.store.put(key, b'1')
+        requests = record_watch_requests(fleet)
+        await fleet.start()
+        await start_reading_in_pages(fleet, 0.05)
+        await asyncio.sleep(0.2)
+        await fleet.store.put('f', b'2')
+        for name in fleet.watchers:
+            fleet.stores[name].returned = asyncio.Event()
+        requests.clear()
+        await asyncio.sleep(1.2)
+        assert len(requests) < 30
+
+    virtual.run(scenario())
+
+
+def test_later_write_of_an_older_build_is_no_position():
+    """An older build passes on what is later than its own revision."""
+
+    async def scenario():
+        fleet = WatchedFleet(3, 2)
+        await fleet.start()
+        last = fleet.followers['i2']
+        last._apply_from_watcher(
+            messages.MirrorChanges(
+                True, True, 10, (mirror.LoggedChange('z', b'2', 15, False),)
+            )
+        )
+        assert (last.mirror.get('z'), last.mirror.revision) == (b'2', 10)
+        last._apply_from_watcher(
+            messages.MirrorChanges(
+                True,
+                True,
+                15,
+                (
+                    mirror.LoggedChange('z', b'2', 15, True),
+                    mirror.LoggedChange('a', b'1', 12, False),
+                    mirror.LoggedChange('z', b'1', 13, False),
+                    mirror.LoggedChange('z', b'2', 15, False),
+                ),
+            )
+        )
+        assert last.mirror.revision == 15
+        assert last.mirror.get('a') == b'1'
+        assert last.mirror.get('z') == b'2'
+
+    virtual.run(scenario())
+
+
+def test_copy_of_a_watcher_that_was_away_is_of_an_outage():
+    """Guards against removals that are believed although leases lapsed.
+
+    The follower has not noticed the outage: its other watcher waits through
+    it, and it gets a whole copy, since the history was dropped.
+    """
+
+    async def scenario():
+        fleet = WatchedFleet(3, 2)
+        await fleet.store.put('lapsed', b'1')
+        await fleet.start()
+        last = fleet.followers['i2']
+        first, second = last._watchers()
+        last._peers = list
+        received_changes = []
+        last.mirror.add_listener(
+            '',
+            lambda key, value: received_changes.append(
+                (key, value, last.is_catching_up)
+            ),
+        )
+        fleet.stores[second].is_silent = True
+        fleet.stores[first].is_reachable = False
+        fleet.followers[first].restart_watch('refused')
+        await asyncio.sleep(0.1)
+        await fleet.store.put('other', b'1')
+        fleet.store.remove('lapsed')
+        # The history that it needs is gone.
+        fleet.followers[first]._is_loaded = False
+        fleet.stores[first].is_reachable = True
+        await asyncio.sleep(2.0)
+        assert ('lapsed', None, True) in received_changes
+        assert ('lapsed', None, False) not in received_changes
+
+    virtual.run(scenario())
