Refuse a registration whose start does not fit into messages

One registration among those of the servers with a start of 2**64 ms or more was accepted. Its crash reports and its leaving could not be told to peers either. No process ended.

A reply of the store that is deeply nested itself ended the loop that follows it, which ran again after 0.5 s; it is a failed call now.

Tests: a limited service with such a registration, two registrations, and a nested reply of the store; all failed before.

--- a/balsamdale/platform/records.py
+++ b/balsamdale/platform/records.py
@@ -14,6 +14,8 @@
 
 # Slots of a plausible server; with more, it would count as always free.
 MAX_SLOTS = 65536
+# Largest start of a server that messages between instances can carry.
+MAX_STARTED_MS = 2**63 - 1
 
 KIND_STREAMING = 'streaming'
 KIND_IDEMPOTENT = 'idempotent'
@@ -176,8 +178,10 @@
         return 'address', f'{record.address!r} has no valid port'
     if not 0 < record.slots <= MAX_SLOTS:
         return 'slots', f'{record.slots} is not from 1 to {MAX_SLOTS}'
-    if not math.isfinite(record.cold_left_ms) or record.born < 0:
-        return 'born', 'cold_left_ms must be finite and born not negative'
+    if not math.isfinite(record.cold_left_ms):
+        return 'cold_left_ms', f'{record.cold_left_ms} is not finite'
+    if not 0 <= record.born <= MAX_STARTED_MS:
+        return 'born', f'{record.born} is not from 0 to {MAX_STARTED_MS}'
     return None
 
 
--- a/balsamdale/platform/store.py
+++ b/balsamdale/platform/store.py
@@ -202,7 +202,7 @@
     def _decode(self, body, message_type, is_write=False):
         try:
             return msgspec.json.decode(body, type=message_type)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise errors.KeyValueUnavailable(
                 f'response is malformed: {error}', is_write
             ) from error
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -66,6 +66,8 @@
         encode_server(slots=10**30),
         encode_server(slots=1e400),
         encode_server(born=-1),
+        encode_server(born=2**63),
+        encode_server(born=10**30),
         encode_server(cold_left_ms=float('nan')),
         encode_server(address='10.0.0.9:\u00b2'),
         encode_server(address='10.0.0.9:' + '9' * 5000),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -199,3 +199,13 @@
         '{"items": [], "truncated": true, "store_revision": 9}<end>'
     )
     run_client(store.PlatformKeyValue, scenario, text)
+
+
+def test_deeply_nested_reply_is_a_failed_call():
+    async def scenario(client):
+        with pytest.raises(errors.KeyValueUnavailable, match='malformed'):
+            await client.scan('')
+
+    nested = '[' * 100_000 + ']' * 100_000
+    text = UNFRAMED_HEAD + '{"items": [], "odd": ' + nested + '}<end>'
+    run_client(store.PlatformKeyValue, scenario, text)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -838,3 +838,29 @@
             assert (await deployment.post('/reads/x'))[0] == 200
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_start_too_large_for_messages_does_not_stop_a_limited_service(
+    tmp_path,
+):
+    """One odd registration kept entries from asking for units at all."""
+
+    async def scenario(deployment):
+        odd, sound = (deployment.servers[n] for n in ('plain-1', 'plain-2'))
+        item = deployment.store._items['servers/plain-1']
+        address = json.loads(base64.b64decode(item['value']))['address']
+        deployment.register('plain-1', 'plain', address, born=10**30)
+        odd.switches.limit, sound.switches.limit = '5', '1000'
+        await asyncio.sleep(0.3)
+        # A lender lends nothing right after it has heard of a limit.
+        for entry in ('entry-a', 'entry-b'):
+            await deployment.post('/reads/x', entry=entry)
+        await asyncio.sleep(0.6)
+        # Requests of programs wait for units that are being borrowed.
+        for entry in ('entry-a', 'entry-b') * 10:
+            status, _, _ = await deployment.post(
+                '/reads/x', entry=entry, **{'X-Program-Id': 'p'}
+            )
+            assert status == 200
+
+    routed_site.run(tmp_path, scenario)
