Send each request of a program on a connection of its own

Responses of engines and tools on the product's own interface name no request. On a kept connection, a refusal written once more where the next response was due made that request "not run", although it ran, and a result written once more was taken for the result of the next call.

A connection now carries one request. What it costs was not measured: one round trip in the failure domain per call.

Tests: a stale refusal and a stale result failed before.

--- a/balsamdale/backend.py
+++ b/balsamdale/backend.py
@@ -211,8 +211,10 @@
 
     def _http_session(self):
         if self._client_session is None:
+            # Responses name no request: on a kept connection, one that comes
+            # late or once more would be taken for the next one.
             self._client_session = http_connection.create_session(
-                aiohttp.TCPConnector(limit=0)
+                aiohttp.TCPConnector(limit=0, force_close=True)
             )
         return self._client_session
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -1,6 +1,7 @@
 """Tests of programs' requests on servers whose responses are faulty."""
 
 import asyncio
+import contextlib
 import itertools
 
 import pytest
@@ -175,7 +176,8 @@
             await asyncio.sleep(interval_s)
     except ConnectionError:
         pass
-    writer.close()
+    finally:
+        writer.close()
 
 
 async def complete_slowly(backends, parts, interval_s):
@@ -218,3 +220,36 @@
         assert await complete_slowly(backends, parts, 0.1) == 'x' * 6
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    'stale',
+    [
+        'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n',
+        'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale',
+    ],
+)
+def test_response_written_again_is_no_answer_to_the_next_call(stale):
+    """Guards against "not run" for a call that runs, and a wrong result."""
+
+    async def serve(reader, writer):
+        answer = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError),
+        ):
+            for text in (answer, stale + answer):
+                head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+                length = head.partition('content-length: ')[2].split()[0]
+                await reader.readexactly(int(length))
+                writer.write(text.encode())
+
+    async def scenario(backends):
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        target = declaration.BackendServer('s', 'plain', f'{host}:{port}', 'a')
+        async with server:
+            assert await backends.invoke(target, TOOL, 'q1') == 'ok'
+            assert await backends.invoke(target, TOOL, 'q2') == 'ok'
+
+    run(scenario)
