Refuse counts of tokens that are negative or too large to be stored

A caller that asked for a negative number of tokens was given a negative reservation, which raised what its program had left of its budget; one with a number of 20 digits or more got 500, as no message to an archive can carry it. X-Finish-Ms without end kept an account for good. All of these are now 400, with the name of the header.

Tests: six more malformed requests; all were accepted before, or failed with another error.

--- a/balsamdale/platform/headers.py
+++ b/balsamdale/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections import abc as collections_abc
 from http import cookies
+import math
 import re
 
 from balsamdale import errors
@@ -65,6 +66,8 @@
 # Bounds of a plausible load report. No server has this many requests, and
 # none is 100 times slower, or 10 times faster, than normal and still serves.
 MAX_REPORTED_REQUESTS = 65536
+# Digits of a count of tokens: sums of such counts fit into messages.
+MAX_COUNT_DIGITS = 15
 SLOWDOWN_PERCENT = range(10, 10001)
 DECIMAL_NUMBER = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 
@@ -171,9 +174,11 @@
     text = headers.get(name, '').strip()
     if not text:
         return 0
-    if not text.isascii() or not text.isdigit():
+    if not _is_count(text):
         raise errors.Refused(
-            'bad_request', 400, f'{name} is not a whole number'
+            'bad_request',
+            400,
+            f'{name} is not a whole number of up to {MAX_COUNT_DIGITS} digits',
         )
     return int(text)
 
@@ -182,11 +187,12 @@
     if name not in headers:
         return None
     try:
-        return max(0.0, float(headers[name])) / 1000
-    except ValueError as error:
-        raise errors.Refused(
-            'bad_request', 400, f'{name} is not a number'
-        ) from error
+        milliseconds = float(headers[name])
+    except ValueError:
+        milliseconds = math.nan
+    if not math.isfinite(milliseconds):
+        raise errors.Refused('bad_request', 400, f'{name} is not a number')
+    return max(0.0, milliseconds) / 1000
 
 
 def _parse_cookie(headers, name):
@@ -209,14 +215,14 @@
     if not text:
         return 0, 0
     prompt, _, answer = text.partition(',')
-    try:
-        return int(prompt), int(answer or 0)
-    except ValueError as error:
+    counts = prompt.strip(), answer.strip() or '0'
+    if not all(map(_is_count, counts)):
         raise errors.Refused(
             'bad_request',
             400,
             f'{TOKEN_USAGE} is not "prompt tokens,answer tokens"',
-        ) from error
+        )
+    return int(counts[0]), int(counts[1])
 
 
 def _parse_load(text):
@@ -240,5 +246,10 @@
     return float(text) if DECIMAL_NUMBER.fullmatch(text) else None
 
 
+def _is_count(text):
+    is_number = text.isascii() and text.isdigit()
+    return is_number and len(text) <= MAX_COUNT_DIGITS
+
+
 def _is_short_number(text):
     return text.isascii() and text.isdigit() and len(text) < 10
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -54,6 +54,14 @@
         {'X-Token-Budget': '-1'},
         {'X-Token-Budget': '1e3'},
         {'X-Token-Usage': 'a,b'},
+        # Negative tokens would raise what is left of the program's budget.
+        {'X-Token-Usage': '100,-1000'},
+        {'X-Token-Usage': '-5,10'},
+        # Numbers that no message can carry.
+        {'X-Token-Usage': '100,' + '9' * 30},
+        {'X-Token-Budget': '9' * 5000},
+        {'X-Deadline-Ms': 'nan'},
+        {'X-Finish-Ms': 'inf'},
     ],
 )
 def test_malformed_request_is_refused(extra):
