Restore an instance that a late announcement of its predecessor dropped

An announcement that an instance leaves names no process. One that arrived after the restarted instance had registered again, over a link that lost packets, removed it from a peer's directory until its registration changed, which it does not: that peer sent it nothing, and its registry did not name it.

The peer now asks an instance that stays registered whether it is leaving, and restores it if not. No message has changed.

Test: test_late_announcement_of_a_replaced_process_drops_no_successor failed before.

--- a/balsamdale/members.py
+++ b/balsamdale/members.py
@@ -127,7 +127,7 @@
         self._links = links
         self._own_id = own_id
         self._members: dict[str, Member] = {}
-        self._registered: set[str] = set()
+        self._registered: dict[str, Member] = {}
         self._probing: set[str] = set()
         self._announced_at_s: dict[str, float] = {}
         self._background = background.BackgroundTasks('members')
@@ -139,7 +139,7 @@
         """Apply a change of one instance's registration in the mirror."""
         instance_id = key.removeprefix(KEY_PREFIX)
         if value is None:
-            self._registered.discard(instance_id)
+            self._registered.pop(instance_id, None)
             self._start_probe(instance_id)
             return
         try:
@@ -148,10 +148,10 @@
             decisions.record('member_unreadable', key=key, reason=str(error))
             return
         if isinstance(member, Evicted):
-            self._registered.discard(instance_id)
+            self._registered.pop(instance_id, None)
             self._remove(instance_id, f'evicted by {member.watcher_id}')
             return
-        self._registered.add(instance_id)
+        self._registered[instance_id] = member
         self._add(member)
 
     def members(self) -> tuple[Member, ...]:
@@ -257,12 +257,34 @@
             if not failed_probes:
                 await asyncio.sleep(self._interval_s(PROBE_INTERVAL_S))
 
+    async def _restore_if_alive(self, instance_id):
+        """Restore a registered instance that is alive and not leaving.
+
+        The announcement may have been of a process that it has replaced.
+        """
+        while True:
+            await asyncio.sleep(self._interval_s(PROBE_INTERVAL_S))
+            member = self._registered.get(instance_id)
+            if member is None or instance_id in self._members:
+                return
+            try:
+                reply = await self._links.request(
+                    instance_id, AskAlive(), PROBE_TIMEOUT_S
+                )
+            except errors.LinkError:
+                continue
+            if not reply.is_leaving and instance_id in self._registered:
+                self._add(member)
+                return
+
     async def _on_ask_alive(self, _sender, _message):
         yield Alive(self.is_leaving)
 
     async def _on_announce(self, _sender, message):
         if message.is_leaving:
-            self._remove(message.member.instance_id, 'leaving')
+            instance_id = message.member.instance_id
+            self._remove(instance_id, 'leaving')
+            self._background.spawn(self._restore_if_alive(instance_id))
         else:
             self._add(message.member)
             self._start_probe(message.member.instance_id)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -141,6 +141,23 @@
     virtual.run(scenario())
 
 
+def test_late_announcement_of_a_replaced_process_drops_no_successor():
+    """The restarted instance has registered before it arrives."""
+
+    async def scenario():
+        cluster = MemberCluster('x', 'y')
+        await asyncio.sleep(0.5)
+        links = cluster.member_directories['y']._links
+        own = cluster.member_directories['y'].members()
+        member = next(m for m in own if m.instance_id == 'y')
+        await links.request('x', members.Announce(member, True))
+        assert cluster.known_entries('x') == {'x'}
+        await asyncio.sleep(members.PROBE_INTERVAL_S + 0.5)
+        assert cluster.known_entries('x') == {'x', 'y'}
+
+    virtual.run(scenario())
+
+
 def test_announced_instance_that_dies_is_dropped():
     async def scenario():
         cluster = MemberCluster('x', 'y')
