Do not restore a removed key from the copy of a peer

A copy of a peer that is complete up to a later revision, but behind on such a key, put it back: a server that had left, say, until the watch brought the removal.

A write in a peer's copy that this copy was complete at and lacks has been removed since, and is left out.

--- a/balsamdale/follower.py
+++ b/balsamdale/follower.py
@@ -369,7 +369,7 @@
         was_catching_up = self.is_catching_up
         self.is_catching_up = was_catching_up or is_catching_up
         is_loaded = copy.keys and self.mirror.load_snapshot(
-            pairs, copy.through
+            pairs, copy.through, is_of_peer=True
         )
         self.is_catching_up = was_catching_up
         if is_loaded:
--- a/balsamdale/mirror.py
+++ b/balsamdale/mirror.py
@@ -83,6 +83,7 @@
         self,
         pairs: collections_abc.Iterable[keyvalue.Pair],
         revision: int,
+        is_of_peer: bool = False,
     ) -> bool:
         """Replace the copy; return False if it is newer than the snapshot.
 
@@ -91,6 +92,8 @@
         Args:
             pairs: all keys.
             revision: revision up to which the snapshot is complete.
+            is_of_peer: whether it is a peer's copy. A write in it that this
+                copy was complete at and lacks has been removed since.
         """
         if revision < self.revision:
             return False
@@ -103,6 +106,9 @@
         changes = [
             keyvalue.Change(pair.key, pair.value, pair.revision)
             for pair in new_pairs.values()
+            if not is_of_peer
+            or pair.key in self._pairs
+            or pair.revision > self.revision
         ]
         changes.sort(key=operator.attrgetter('revision'))
         changes += [
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -21,6 +21,7 @@
 from balsamdale import instance
 from balsamdale import journal
 from balsamdale import membership
+from balsamdale import mirror
 from balsamdale import owner
 from balsamdale import ownership
 from balsamdale import program
@@ -448,6 +449,34 @@
     configuration.Relay.apply = apply_any_revision
 
 
+@mutation
+def older_write_wins():
+    """A copy applies a change although it has a later write of the key."""
+
+    def apply_any(self, change):
+        self._pairs.pop(change.key, None)
+        return apply_change(self, change)
+
+    apply_change = mirror.Mirror._apply
+    mirror.Mirror._apply = apply_any
+
+
+@mutation
+def log_kept_over_snapshots():
+    """A snapshot leaves a copy's log as if nothing were missing in it."""
+
+    def load_snapshot(self, pairs, revision, is_of_peer=False):
+        log, start = list(self._log), self._log_start
+        has_loaded = load(self, pairs, revision, is_of_peer)
+        if has_loaded and start:
+            self._log.extend(log)
+            self._log_start = start
+        return has_loaded
+
+    load = mirror.Mirror.load_snapshot
+    mirror.Mirror.load_snapshot = load_snapshot
+
+
 @mutation
 def no_read_back():
     """A write whose response was lost counts as failed."""
--- a/tests/proofs/test_configuration.py
+++ b/tests/proofs/test_configuration.py
@@ -1,12 +1,14 @@
 """Point 10: an accepted configuration is in force and never reverts."""
 
 import asyncio
+import random
 
 import pytest
 
 from balsamdale import configuration
 from balsamdale import messages
 from tests import cluster
+from tests import mirror_world
 from tests import virtual
 
 APPLY_LIMIT_S = 4.0
@@ -132,3 +134,12 @@
         assert lost[0].head.operator == won[0].head.operator
 
     virtual.run(main())
+
+
+@pytest.mark.point(10, 'older_write_wins', 'log_kept_over_snapshots')
+def test_copies_of_a_store_in_pages_are_complete_and_never_go_back(seeds):
+    for seed in range(seeds):
+        world = mirror_world.PagedWorld(random.Random(seed))
+        for _ in range(120):
+            world.step()
+        world.converge()
