Write each line of a planned stop at once, and name its requests

A process that is killed at the end of its grace period left no trace of what it had accepted: lines of 0.2 s are in memory, and a request is logged at its end only. From SIGTERM on lines are now written through. New events tell the steps of a stop (leave_announced, lease_revoked, lease_not_revoked, accepting_stopped), the requests that are handled from then on (stopping_admitted), those whose connections are closed (open_at_close), and an exception that ends the process (failed). No decision changes.

--- a/balsamdale/decisions.py
+++ b/balsamdale/decisions.py
@@ -14,7 +14,14 @@
 from absl import logging
 import msgspec
 
-__all__ = ['DecisionLog', 'count_dropped', 'count_lines', 'install', 'record']
+__all__ = [
+    'DecisionLog',
+    'count_dropped',
+    'count_lines',
+    'install',
+    'record',
+    'write_through',
+]
 
 # Longest time that a line waits in the buffer of a writable output.
 FLUSH_INTERVAL_S = 0.2
@@ -55,6 +62,20 @@
         self.line_count = 0
         self.dropped_count = 0
         self._reported_dropped_count = 0
+        self._is_write_through = False
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Size of the lines that the output has not accepted."""
+        return len(self._buffer)
+
+    def write_through(self) -> None:
+        """Write each line at once from now on, without blocking.
+
+        A process that is killed loses the lines that it has buffered.
+        """
+        self._is_write_through = True
+        self.flush()
 
     def add(self, now_s: float, event: str, fields: dict) -> bool:
         """Buffer a line; return False if it was dropped.
@@ -88,6 +109,8 @@
         self._buffer += self._encoder.encode(line)
         self._buffer += b'\n'
         self.line_count += 1
+        if self._is_write_through:
+            self.flush()
         return True
 
     def flush(self) -> None:
@@ -154,6 +177,12 @@
     return _log.dropped_count if _log is not None else 0
 
 
+def write_through() -> None:
+    """Write each line of this process at once from now on."""
+    if _log is not None:
+        _log.write_through()
+
+
 def record(event: str, **fields) -> None:
     """Log one decision with the inputs that led to it."""
     if _log is not None:
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -267,6 +267,9 @@
         await asyncio.sleep(stop.stops_accepting_s - _loop_time_s())
         # Under load there would always be a request that was just accepted.
         await self.listener.stop_accepting()
+        decisions.record(
+            'accepting_stopped', open_requests=self.listener.count_open()
+        )
         while _loop_time_s() < stop.ends_s and (
             self.server_paths.count_sending()
             or not self.listener.is_drained(stop)
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -131,6 +131,8 @@
         is refused.
         """
         self._is_closing = True
+        for responder in self._responders.values():
+            responder.record_open()
         self._background.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
@@ -154,7 +156,10 @@
             return _too_large(request)
         except errors.Refused as refused:
             return self._refuse_body(request, refused)
-        responder = _Responder(request, self, holding)
+        request_id = request.headers.get(
+            self._wire_format.request_id_header, ''
+        )
+        responder = _Responder(request, request_id, self, holding)
         self._responders[holding] = responder
         self.check_output()
         try:
@@ -180,6 +185,8 @@
             return _bad_request(request, refused)
         if not self._is_admitted(call):
             return self._refuse_at_stop(call)
+        if self._planned_stop is not None:
+            self._record_admission(call)
         await self._handler.serve(call, responder)
         del body, call
         await responder.flush()
@@ -213,6 +220,15 @@
         deadline_s = now_s + self._handler.time_limit_s(call)
         return self._planned_stop.admits(deadline_s, now_s)
 
+    def _record_admission(self, call):
+        """Log a request at once that is handled during a planned stop."""
+        decisions.record(
+            'stopping_admitted',
+            id=call.request_id,
+            stopping_s=round(_now_s() - self._planned_stop.started_s, 3),
+            time_limit_s=round(self._handler.time_limit_s(call), 3),
+        )
+
     def _refuse_at_stop(self, call):
         """Return the refusal of a request that could not be ended.
 
@@ -298,8 +314,10 @@
 class _Responder(request_state.Responder):
     """Sends a response over one HTTP connection."""
 
-    def __init__(self, request, listener, holding):
+    def __init__(self, request, request_id, listener, holding):
         self._request = request
+        self._request_id = request_id
+        self._received_at_s = _now_s()
         self._listener = listener
         self._budget = listener.budget
         self.holding = holding
@@ -373,6 +391,16 @@
                 _now_s(),
             )
 
+    def record_open(self):
+        """Log a request whose connection is about to be closed."""
+        decisions.record(
+            'open_at_close',
+            id=self._request_id,
+            age_s=round(_now_s() - self._received_at_s, 3),
+            is_received=self._request.content.at_eof(),
+            has_begun=self.has_begun,
+        )
+
     def abort(self):
         if self.response is None:
             self.response = web.StreamResponse(status=500)
--- a/balsamdale/members.py
+++ b/balsamdale/members.py
@@ -375,12 +375,18 @@
         A lease that cannot be revoked expires by itself.
         """
         self._is_leaving = True
+        started_s = _now_s()
         await self._announce(self._member(), True)
+        decisions.record('leave_announced', took_s=_since_s(started_s))
         for _ in range(MAX_REVOKE_ATTEMPTS):
             if not self.lease:
                 return
-            with contextlib.suppress(errors.KeyValueError):
+            try:
                 await self._store.revoke_lease(self.lease)
+            except errors.KeyValueError as error:
+                decisions.record('lease_not_revoked', reason=str(error))
+            else:
+                decisions.record('lease_revoked', took_s=_since_s(started_s))
                 return
             await asyncio.sleep(REVOKE_RETRY_INTERVAL_S)
 
@@ -409,3 +415,7 @@
 
 def _now_s():
     return asyncio.get_running_loop().time()
+
+
+def _since_s(started_s):
+    return round(_now_s() - started_s, 3)
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -231,8 +231,13 @@
         return EXIT_BAD_SETTINGS
     log = decisions.install(settings.instance_id)
     node_type = roles[settings.role]()
-    asyncio.run(_run(settings, platform_adapter, node_type, log, path))
-    log.flush()
+    try:
+        asyncio.run(_run(settings, platform_adapter, node_type, log, path))
+    except Exception as error:
+        decisions.record('failed', reason=repr(error))
+        raise
+    finally:
+        log.flush()
     return 0
 
 
@@ -249,10 +254,15 @@
     gc.collect()
     gc.freeze()
     await stop_requested.wait()
-    decisions.record('stopping')
+    stopping_at_s = loop.time()
+    # A process that is killed at the end of its grace period still tells
+    # what it was doing.
+    decisions.write_through()
+    decisions.record('stopping', grace_s=settings.grace_s)
     await instance.leave()
     await instance.close()
-    decisions.record('stopped')
+    took_s = round(loop.time() - stopping_at_s, 3)
+    decisions.record('stopped', took_s=took_s)
     flush_task.cancel()
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -58,3 +58,28 @@
     log.add(5.0, 'x', {})
     log.flush()
     assert log.dropped_count == 1
+
+
+def test_lines_of_a_process_that_is_killed_in_its_stop_are_not_lost():
+    """Guards against a stop that leaves no trace of its last requests."""
+    reader, writer = os.pipe()
+    log = decisions.DecisionLog(writer, 'e1')
+    log.add(5.0, 'before', {})
+    log.write_through()
+    log.add(5.1, 'stopping', {})
+    lines = read_lines(reader)
+    assert [line['event'] for line in lines] == ['before', 'stopping']
+    assert not log.waiting_bytes
+
+
+def test_lines_written_through_wait_for_a_reader_that_does_not_read():
+    reader, writer = os.pipe()
+    log = decisions.DecisionLog(writer, 'e1', lines_per_s=1e9)
+    log.write_through()
+    for _ in range(2000):
+        log.add(5.0, 'x', {'text': 'y' * 100})
+    waiting_bytes = log.waiting_bytes
+    assert waiting_bytes
+    os.read(reader, 10**6)
+    log.add(5.0, 'x', {})
+    assert log.waiting_bytes < waiting_bytes
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,9 +7,12 @@
 import aiohttp
 import pytest
 
+from balsamdale import decisions
 from balsamdale import planned_stop
 from tests import routed_site
 
+# Events of a planned stop that does not end in time, in their order.
+STOP_EVENTS = ('leave_announced', 'accepting_stopped', 'drained')
 CALLERS = 12
 REQUESTS_BEFORE_STOP = 5 * CALLERS
 
@@ -165,6 +168,18 @@
     return 'entry-c'
 
 
+@pytest.fixture
+def recorded(monkeypatch):
+    """Return the events and fields that are logged."""
+    lines = []
+
+    def record(event, **fields):
+        lines.append((event, fields))
+
+    monkeypatch.setattr(decisions, 'record', record)
+    return lines
+
+
 async def leave_and_close(deployment, name):
     entry = deployment.nodes.pop(name)
     await entry.leave()
@@ -348,3 +363,30 @@
         await stopping
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_log_of_a_stop_names_what_was_admitted_and_what_was_open(
+    tmp_path, early_stop, recorded
+):
+    """Guards against cut requests that no line of the log names."""
+
+    async def scenario(deployment):
+        name = await start_entry(deployment, 2.5)
+        connection = await OpenConnection(deployment, name).open()
+        entry = deployment.nodes.pop(name)
+        set_stream_length(deployment, 40, 0.1)
+        leaving = asyncio.create_task(entry.leave())
+        await asyncio.sleep(0.1)
+        await stream_until(connection, deployment, 'late')
+        await leaving
+        await entry.close()
+        connection.close()
+
+    routed_site.run(tmp_path, scenario)
+    admitted = [f for e, f in recorded if e == 'stopping_admitted']
+    still_open = [f for e, f in recorded if e == 'open_at_close']
+    assert [f['id'] for f in admitted] == ['late']
+    assert [f['id'] for f in still_open] == ['late']
+    assert still_open[0]['is_received'] and still_open[0]['has_begun']
+    order = [e for e, _ in recorded if e in STOP_EVENTS]
+    assert order == list(STOP_EVENTS)
