Never wait for a reader of standard error

What callers saw, in a run of this commit's test on the code before it: an entry whose standard error nobody reads answers nothing any more once a library has written a line to it. One malformed request suffices, as aiohttp logs it with its traceback. The process also takes no SIGTERM, so it is killed at the end of its grace period.

Cause: the decision log never blocks, but only decisions and messages of the absl logger went through it. Loggers of asyncio and aiohttp had no handler, so that Python's last resort wrote them to standard error, like warnings, errors in threads and errors that cannot be raised. Such a write waits for the reader, and with it the event loop.

All of these are lines of the decision log now, with their tracebacks, whose length is bounded. Messages of the absl logger keep their form and have a traceback where they had lost it.

--- a/balsamdale/decisions.py
+++ b/balsamdale/decisions.py
@@ -2,22 +2,27 @@
 
 Lines are buffered and written only while standard output is writable, so that
 a slow reader never delays a request. Lines that exceed the buffer or the rate
-limit are dropped and counted.
+limit are dropped and counted. What libraries and the interpreter would write
+to standard error becomes a line too, as such a write waits for the reader.
 """
 
 import asyncio
+import logging
 import os
 import select
 import sys
+import threading
 import time
+import traceback
 
-from absl import logging
+from absl import logging as absl_logging
 import msgspec
 
 __all__ = [
     'DecisionLog',
     'count_dropped',
     'count_lines',
+    'format_traceback',
     'install',
     'record',
     'write_through',
@@ -31,6 +36,8 @@
 MAX_BUFFERED_BYTES = 262144
 # Several times the request rate of one entry instance.
 DEFAULT_LINES_PER_S = 400.0
+# Longest traceback in a line; its end names the error.
+MAX_TRACEBACK_CHARACTERS = 4000
 
 
 class DecisionLog:
@@ -140,33 +147,49 @@
 _log: DecisionLog | None = None
 
 
-class _Handler(logging.ABSLHandler):
-    """Writes the messages of the absl logger to the decision log."""
+class _Handler(logging.Handler):
+    """Writes log messages to the decision log."""
 
     def emit(self, record):
-        if _log is not None:
-            _log.add(
-                record.created,
-                'message',
-                {
-                    'level': record.levelname.lower(),
-                    'text': record.getMessage(),
-                },
-            )
+        if _log is None:
+            return
+        fields = {
+            'level': record.levelname.lower(),
+            'text': record.getMessage(),
+        }
+        if record.exc_info and record.exc_info[1] is not None:
+            fields['traceback'] = format_traceback(record.exc_info[1])
+        _log.add(record.created, 'message', fields)
 
 
 def install(instance_id: str) -> DecisionLog:
     """Send decisions and log messages of this process to standard output."""
     global _log
     _log = DecisionLog(sys.stdout.fileno(), instance_id)
-    logger = logging.get_absl_logger()
-    for handler in list(logger.handlers):
-        logger.removeHandler(handler)
-    logger.addHandler(_Handler(logging.PythonFormatter()))
-    logger.propagate = False
+    handler = _Handler()
+    for logger in (logging.getLogger(), absl_logging.get_absl_logger()):
+        for previous_handler in list(logger.handlers):
+            logger.removeHandler(previous_handler)
+        logger.addHandler(handler)
+    absl_logging.get_absl_logger().propagate = False
+    logging.captureWarnings(True)
+    sys.unraisablehook = _record_unraisable
+    threading.excepthook = _record_unraisable
     return _log
 
 
+def format_traceback(error: BaseException) -> str:
+    """Return the traceback of an error, its end if it is long."""
+    text = ''.join(traceback.format_exception(error))
+    return text[-MAX_TRACEBACK_CHARACTERS:]
+
+
+def _record_unraisable(unraisable):
+    """Log an error that the interpreter cannot raise anywhere."""
+    error = unraisable.exc_value
+    logging.error('an error was ignored: %r', error, exc_info=error)
+
+
 def count_lines() -> int:
     """Return how many lines were buffered for writing."""
     return _log.line_count if _log is not None else 0
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,9 +1,15 @@
 """Tests of the decision log."""
 
+import asyncio
 import json
 import os
+import subprocess
+import sys
+
+import pytest
 
 from balsamdale import decisions
+from tests import real_node
 
 
 def read_lines(descriptor):
@@ -83,3 +89,79 @@
     os.read(reader, 10**6)
     log.add(5.0, 'x', {})
     assert log.waiting_bytes < waiting_bytes
+
+
+def test_reader_of_standard_error_that_does_not_read_holds_nothing_up(
+    tmp_path,
+):
+    """Guards against an entry that stops at a line of a library."""
+
+    async def scenario(site):
+        entry = site.add_node('entry-a', 'entry')
+        entry.error_output.fill()
+        await entry.launch()
+        await entry.wait_for_event('started')
+        await site.wait_until_served(entry)
+        host, _, port = entry.settings['entry_address'].rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'GET / HTTP/9.9 no request\r\n\r\n')
+        assert await reader.readline() == b'HTTP/1.0 400 Bad Request\r\n'
+        writer.close()
+        assert await site.post(entry, 'after') == 200
+        entry.signal()
+        assert await entry.wait() == 0
+        message = next(
+            line for line in entry.output.lines() if 'traceback' in line
+        )
+        assert message['event'] == 'message' and message['level'] == 'error'
+        assert 'BadStatusLine' in message['traceback']
+
+    real_node.run(tmp_path, scenario)
+
+
+LOG_IN_A_PROCESS = """
+import asyncio, logging, sys, threading, warnings
+from balsamdale import decisions
+
+def fail():
+    raise ValueError('odd')
+
+async def fail_in_a_callback():
+    asyncio.get_running_loop().call_soon(fail)
+    await asyncio.sleep(0)
+
+def fail_in_a_thread():
+    thread = threading.Thread(target=fail)
+    thread.start()
+    thread.join()
+
+class FailsWhenDeleted:
+    def __del__(self):
+        fail()
+
+decisions.install('e1').write_through()
+exec(sys.argv[1])
+"""
+
+
+@pytest.mark.parametrize(
+    'source',
+    [
+        "logging.getLogger('aiohttp.server').error('odd')",
+        "warnings.warn('odd')",
+        'FailsWhenDeleted()',
+        'fail_in_a_thread()',
+        'asyncio.run(fail_in_a_callback())',
+    ],
+)
+def test_what_would_go_to_standard_error_is_a_line_of_the_log(source):
+    """Such a write waits for the reader of standard error."""
+    done = subprocess.run(
+        [sys.executable, '-c', LOG_IN_A_PROCESS, source],
+        capture_output=True,
+        check=True,
+    )
+    lines = [json.loads(line) for line in done.stdout.splitlines()]
+    assert [line['event'] for line in lines] == ['message']
+    assert b'odd' in done.stdout
+    assert done.stderr == b''
