Never fail a request or a stop by its log line

What callers saw, in a trial: an order whose id is no valid UTF-8 was open when its entry closed. The line that names it (`open_at_close`) could not be encoded, so that the close ended there: the process exited with status 1, its other requests were cut at once, and its peers and servers were not told.

Cause: `DecisionLog.add` raised for what msgspec does not encode: text that is no Unicode, which headers and paths of callers may hold, and types that it does not know.

Such a line is encoded by the standard library, which escapes or describes what it holds.

The request itself is still answered with 500, as `serving` hashes its id: not changed here.

--- a/balsamdale/decisions.py
+++ b/balsamdale/decisions.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import json
 import logging
 import os
 import select
@@ -113,13 +114,23 @@
             'event': event,
             **fields,
         }
-        self._buffer += self._encoder.encode(line)
+        self._buffer += self._encode(line)
         self._buffer += b'\n'
         self.line_count += 1
         if self._is_write_through:
             self.flush()
         return True
 
+    def _encode(self, line):
+        """Encode a line; a log must not fail what it tells of.
+
+        What callers send may be no valid text.
+        """
+        try:
+            return self._encoder.encode(line)
+        except (TypeError, ValueError):
+            return json.dumps(line, default=repr).encode()
+
     def flush(self) -> None:
         """Write as much as the output accepts without blocking."""
         while self._buffer:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -34,6 +34,19 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ('value', 'written'),
+    [('od\udcffd', 'od\udcffd'), (2**70, 2**70), (1j, '1j')],
+)
+def test_line_that_is_no_valid_text_is_written(value, written):
+    """Guards against a request, or a close, that fails by its line."""
+    reader, writer = os.pipe()
+    log = decisions.DecisionLog(writer, 'e1')
+    assert log.add(5.0, 'request', {'id': [value]})
+    log.flush()
+    assert read_lines(reader)[0]['id'] == [written]
+
+
 def test_lines_beyond_the_rate_are_dropped_and_counted():
     reader, writer = os.pipe()
     log = decisions.DecisionLog(writer, 'e1', lines_per_s=10.0)
