Close an instance within its reserve, step by step

What callers saw, in runs of this commit's tests on the code before it: an entry whose registry, readiness or metrics endpoint held half a request of some caller took 10.0 to 10.6 s to stop in calm, so that the platform killed it at the end of its grace period (8 s). The answers of its last moment and the lines that it had not written were lost then.

Cause: the steps of a close were awaited one after the other without a bound, though 1 s is reserved for all of them. The HTTP servers of the endpoints had aiohttp's default of 60 s, of which it waits 10 s for the rest of a body; the sessions of the store and of the servers wait until a peer has read what was written; an archive waits for its disk, in the event loop. A step that failed kept all after it from being carried out.

`shutdown.run_steps` carries out steps at the same time until a deadline, and logs those that fail or do not end (`stop_step_failed`, `stop_step_unfinished`). A close is stages of such steps and has one deadline. The servers of the endpoints, whose handlers do not wait, close within 0.1 s. An order to empty an archive ends with its close; it was not cancelled before.

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -18,6 +18,7 @@
 from balsamdale import node_settings
 from balsamdale import quota_service
 from balsamdale import replica_set
+from balsamdale import shutdown
 
 __all__ = ['ArchiveNode']
 
@@ -104,10 +105,13 @@
         await super().leave()
         await asyncio.sleep(REPLY_DRAIN_S)
 
-    async def close(self) -> None:
-        self.limit_service.close()
-        await super().close()
-        await self.service.close()
+    def close_stages(self) -> tuple[dict[str, shutdown.Step], ...]:
+        work, connections = super().close_stages()
+        work |= {
+            'limit_service': self.limit_service.close,
+            'decommission': self._cancel_decommission,
+        }
+        return work, connections, {'archive': self.service.close}
 
     def _limiter_names(self):
         """Return the other archives, and this one until it leaves.
@@ -184,6 +188,10 @@
         await self._write_decommission_status(True)
         decisions.record('emptying_done', instance=instance_id)
 
+    def _cancel_decommission(self):
+        if self._decommission_task is not None:
+            self._decommission_task.cancel()
+
     async def _write_decommission_status(self, is_done):
         key, value = self.adapter.decommission_status(
             self.settings.instance_id, is_done
--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -162,8 +162,8 @@
     async def close(self) -> None:
         """Sync and release the folder."""
         self._background.cancel()
-        if self._sync_task is not None:
-            await self._sync_task
+        # The disk may take long, so it is not waited for in the event loop.
+        await self._request_sync()
         self.archive.close()
 
     async def _push_record(self, record, peer_names):
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -30,6 +30,7 @@
 from balsamdale.scheduling import memory
 from balsamdale import server_paths
 from balsamdale import serving
+from balsamdale import shutdown
 
 __all__ = ['EntryNode']
 
@@ -282,15 +283,18 @@
             refused_at_stop=self.listener.refused_at_stop,
         )
 
-    async def close(self) -> None:
-        await self.listener.close()
-        self.quota_client.close()
-        self.limit_client.close()
-        self.limit_service.close()
-        self.server_paths.close()
-        await self._stop_platform_endpoints()
-        await self.http_client.close()
-        await super().close()
+    def close_stages(self) -> tuple[dict[str, shutdown.Step], ...]:
+        work, connections = super().close_stages()
+        work |= {
+            'quota_client': self.quota_client.close,
+            'limit_client': self.limit_client.close,
+            'limit_service': self.limit_service.close,
+            'server_paths': self.server_paths.close,
+        }
+        connections['servers'] = self.http_client.close
+        if self._stop_platform_endpoints is not None:
+            connections['platform'] = self._stop_platform_endpoints
+        return {'listener': self.listener.close}, work, connections
 
     def is_ready(self) -> bool:
         """Return whether callers' requests can be served."""
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -20,8 +20,10 @@
 from balsamdale import metrics
 from balsamdale import mirror
 from balsamdale import node_settings
+from balsamdale import planned_stop
 from balsamdale import relay
 from balsamdale import replica_set
+from balsamdale import shutdown
 from balsamdale import tcp_link
 from balsamdale import watchers
 
@@ -136,13 +138,28 @@
         self.member_directory.is_leaving = True
         await self.registration.leave()
 
-    async def close(self) -> None:
-        """Cancel all work and close connections."""
-        self._background.cancel()
+    async def close(self, deadline_s: float | None = None) -> None:
+        """Cancel all work and close connections.
+
+        Args:
+            deadline_s: time of the event loop at which it returns whether or
+                not all has ended; by default after `CLOSE_RESERVE_S`.
+        """
+        if deadline_s is None:
+            now_s = asyncio.get_running_loop().time()
+            deadline_s = now_s + planned_stop.CLOSE_RESERVE_S
+        for steps in self.close_stages():
+            await shutdown.run_steps(steps, deadline_s)
+
+    def close_stages(self) -> tuple[dict[str, shutdown.Step], ...]:
+        """Return the steps of the close by name, one stage after the other.
+
+        Those of a stage are carried out at the same time.
+        """
+        connections = {'links': self.links.close, 'store': self.store.close}
         if self._metrics_runner is not None:
-            await self._metrics_runner.cleanup()
-        await self.links.close()
-        await self.store.close()
+            connections['metrics'] = self._metrics_runner.cleanup
+        return {'background': self._background.cancel}, connections
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
         """Return the gauges of an instance by name."""
--- a/balsamdale/platform/adapter.py
+++ b/balsamdale/platform/adapter.py
@@ -1,5 +1,6 @@
 """Implementation of `adapter.Adapter` for the platform."""
 
+import asyncio
 from collections import abc as collections_abc
 
 from aiohttp import web
@@ -67,8 +68,7 @@
         ]
 
         async def stop():
-            for runner in runners:
-                await runner.cleanup()
+            await asyncio.gather(*(runner.cleanup() for runner in runners))
 
         return stop
 
--- a/balsamdale/sockets.py
+++ b/balsamdale/sockets.py
@@ -27,6 +27,10 @@
 # The same for callers' connections, whose network paths may be longer.
 LISTENER_UNACKED_TIMEOUT_MS = 5000
 
+# Time for a handler to end when its server is closed, and then for the rest of
+# a request that nobody reads.
+SHUTDOWN_TIMEOUT_S = 0.05
+
 Handler = collections_abc.Callable[
     [web.BaseRequest], collections_abc.Awaitable[web.StreamResponse]
 ]
@@ -63,7 +67,10 @@
 
 async def serve_http(handler: Handler, address: str) -> web.ServerRunner:
     """Serve HTTP requests on an IP address and port by one handler."""
-    runner = web.ServerRunner(web.Server(handler, access_log=None))
+    runner = web.ServerRunner(
+        web.Server(handler, access_log=None),
+        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+    )
     await runner.setup()
     await web.SockSite(runner, create_listening_socket(address)).start()
     return runner
