Do not end by a signal to reload while a process starts

What operators saw, in trials of one start per moment: a SIGHUP up to 0.6 s after an entry was started ends it, as that signal does by default. The platform sends it whenever settings change, so it may come at any moment.

Cause: its handler is installed once the event loop runs, after all imports and the settings.

It is ignored from the first line of the command on; the settings are read after that, so nothing is missed. What remains is the start of the interpreter itself, before any code of ours: a signal after 0.05 s still ended the process.

Evidence: the test, in which the process gets the signal during its imports, fails on the commit before (status -1 before it starts) and passes here.

--- a/balsamdale/platform/__main__.py
+++ b/balsamdale/platform/__main__.py
@@ -1,10 +1,15 @@
 """Command that runs one entry or archive instance on the platform."""
 
 import os
+import signal
 import sys
 
-from balsamdale import node
-from balsamdale.platform import adapter
+if __name__ == '__main__':
+    # The platform may tell of new settings while the rest is loaded.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from balsamdale import node  # noqa: E402
+from balsamdale.platform import adapter  # noqa: E402
 
 SETTINGS_VARIABLE = 'BALSAMDALE_SETTINGS'
 
--- a/tests/real_node.py
+++ b/tests/real_node.py
@@ -22,6 +22,10 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 HOST = platform_store.HOST
+RUN_MODULE = """
+import runpy
+runpy.run_module('balsamdale.platform', run_name='__main__')
+"""
 # Generous: starting processes takes long on a busy machine.
 TIMEOUT_S = 30.0
 CONFIGURATION = {
@@ -110,8 +114,7 @@
         command = ('-m', 'balsamdale.platform')
         if self._prelude:
             # Changes the process in a way that no outside system can.
-            main = 'from balsamdale.platform import __main__ as m; m.main()'
-            command = ('-c', f'{self._prelude}\n{main}')
+            command = ('-c', f'{self._prelude}\n{RUN_MODULE}')
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             *command,
@@ -232,6 +235,10 @@
         self.nodes.append(instance)
         return instance
 
+    def reserve(self):
+        """Return an address that is free."""
+        return self._ports.reserve()
+
     async def start(self, name='entry-a', role='entry', **options):
         """Return a new instance once it has started."""
         instance = await self.add_node(name, role, **options).launch()
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -66,3 +66,26 @@
         writer.close()
 
     real_node.run(tmp_path, scenario)
+
+
+SIGNAL_DURING_IMPORTS = """
+import os, signal, sys
+
+class Finder:
+    def find_spec(name, path=None, target=None):
+        if name == 'balsamdale.entry_node':
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Finder)
+"""
+
+
+def test_signal_to_reload_during_a_start_does_not_end_an_instance(tmp_path):
+    """The platform may send it as soon as a process exists."""
+
+    async def scenario(site):
+        entry = await site.start(prelude=SIGNAL_DURING_IMPORTS)
+        entry.signal()
+        assert await entry.wait() == 0
+
+    real_node.run(tmp_path, scenario)
