End a process within its grace period, with all its lines

What operators saw, in runs of this commit's tests on the code before it: - an archive whose disk hangs, and an instance whose leaving does not end, run on until they are killed; - an instance whose leaving fails ends with status 1, without its close, so that requests under way are cut and peers and servers are not told; - one that gets a further signal at its end exits by that signal; - a reader of the log that is a little slow does not get its last lines.

Cause: nothing bounded the stop of a process but the kill by the platform, and each part of it relied on all before it. `asyncio.run` waits without a bound for tasks that do not end when cancelled, and up to 300 s for threads, for which the interpreter waits again; it resets the signals when it closes the loop. The last lines were written only as far as the pipe took them at once.

The end of the grace period, counted from the signal, bounds each part now: the leaving, the close, the tasks that are still left, which the log names, and the last lines, for as long as their reader reads. The event loop is not closed, and the process exits at once.

--- a/balsamdale/decisions.py
+++ b/balsamdale/decisions.py
@@ -148,6 +148,24 @@
                 return
             del self._buffer[:written]
 
+    def drain(self, stall_s: float, wait_s: float) -> None:
+        """Write what is left before the process ends; this may block.
+
+        Args:
+            stall_s: time without reading after which a reader is given up.
+            wait_s: longest time.
+        """
+        deadline_s = time.monotonic() + wait_s
+        self.flush()
+        while self._buffer:
+            left_s = deadline_s - time.monotonic()
+            _, writable, _ = select.select(
+                [], [self._descriptor], [], max(0.0, min(stall_s, left_s))
+            )
+            if not writable:
+                return
+            self.flush()
+
     async def run(self) -> None:
         """Flush at a fixed interval until cancelled."""
         while True:
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -29,7 +29,13 @@
 
 __all__ = ['Clocks', 'Node', 'main']
 
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+# Part of the reserve for closing that is left for the end of the process.
+EXIT_RESERVE_S = 0.3
+# Time without reading after which the reader of the log is given up, when the
+# last lines are written.
+LOG_STALL_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -235,6 +241,8 @@
 ) -> int:
     """Run an instance until SIGTERM; return the exit status.
 
+    Threads may still wait for a disk, so the process should end at once.
+
     Args:
         path: path of the settings file.
         platform_adapter: names, formats and calls of the platform.
@@ -248,23 +256,36 @@
         return EXIT_BAD_SETTINGS
     log = decisions.install(settings.instance_id)
     node_type = roles[settings.role]()
+    # The loop is not closed: this would wait for threads, which may wait for
+    # a disk, and let signals end the process before the last lines are out.
+    runner = asyncio.Runner()
+    ends_s = None
     try:
-        asyncio.run(_run(settings, platform_adapter, node_type, log, path))
+        ends_s = runner.run(
+            _run(settings, platform_adapter, node_type, log, path)
+        )
     except Exception as error:
-        decisions.record('failed', reason=repr(error))
-        raise
-    finally:
-        log.flush()
+        decisions.record(
+            'failed',
+            reason=repr(error),
+            traceback=decisions.format_traceback(error),
+        )
+    if ends_s is None:
+        log.drain(LOG_STALL_S, planned_stop.CLOSE_RESERVE_S)
+        return EXIT_FAILED
+    log.drain(LOG_STALL_S, ends_s - time.monotonic())
     return 0
 
 
 async def _run(settings, platform_adapter, node_type, log, path):
+    """Run until SIGTERM; return when the process will be killed."""
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, settings, path)
-    flush_task = asyncio.create_task(log.run())
+    flushing = background.BackgroundTasks('log')
+    flushing.spawn_loop(log.run)
     instance = node_type(settings, platform_adapter, Clocks())
     await instance.start()
     decisions.record('started', role=settings.role)
@@ -272,15 +293,19 @@
     gc.freeze()
     await stop_requested.wait()
     stopping_at_s = loop.time()
+    ends_s = stopping_at_s + settings.grace_s
     # A process that is killed at the end of its grace period still tells
     # what it was doing.
     decisions.write_through()
     decisions.record('stopping', grace_s=settings.grace_s)
-    await instance.leave()
-    await instance.close()
+    await shutdown.run_steps(
+        {'leave': instance.leave}, ends_s - planned_stop.CLOSE_RESERVE_S / 2
+    )
+    await instance.close(ends_s - EXIT_RESERVE_S)
+    await shutdown.cancel_tasks(ends_s - EXIT_RESERVE_S)
     took_s = round(loop.time() - stopping_at_s, 3)
     decisions.record('stopped', took_s=took_s)
-    flush_task.cancel()
+    return ends_s
 
 
 def _reload(settings, path):
--- a/balsamdale/platform/__main__.py
+++ b/balsamdale/platform/__main__.py
@@ -33,7 +33,10 @@
 def main() -> None:
     """Run until SIGTERM, with the settings file that the platform wrote."""
     path = os.environ.get(SETTINGS_VARIABLE, '')
-    sys.exit(node.main(path, adapter.PlatformAdapter(), ROLES))
+    status = node.main(path, adapter.PlatformAdapter(), ROLES)
+    sys.stderr.flush()
+    # The end of the interpreter would wait for threads.
+    os._exit(status)
 
 
 if __name__ == '__main__':
--- a/balsamdale/shutdown.py
+++ b/balsamdale/shutdown.py
@@ -10,7 +10,7 @@
 
 from balsamdale import decisions
 
-__all__ = ['Step', 'run_steps']
+__all__ = ['Step', 'cancel_tasks', 'run_steps']
 
 # Time that a step gets even if it starts too late: what only has to be
 # scheduled still ends.
@@ -36,14 +36,33 @@
         asyncio.create_task(_run(name, step)): name
         for name, step in steps.items()
     }
-    left_s = deadline_s - asyncio.get_running_loop().time()
-    _, unfinished = await asyncio.wait(tasks, timeout=max(MIN_STEP_S, left_s))
+    unfinished = await _wait(tasks, deadline_s)
     for task in unfinished:
         decisions.record('stop_step_unfinished', step=tasks[task])
         task.cancel()
     return not unfinished
 
 
+async def cancel_tasks(deadline_s: float) -> None:
+    """Cancel all other tasks; log those that have not ended at a deadline.
+
+    Args:
+        deadline_s: time of the event loop.
+    """
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    for task in await _wait(tasks, deadline_s) if tasks else ():
+        decisions.record('task_unfinished', task=repr(task.get_coro()))
+
+
+async def _wait(tasks, deadline_s):
+    """Return the tasks that have not ended at a deadline."""
+    left_s = deadline_s - asyncio.get_running_loop().time()
+    _, unfinished = await asyncio.wait(tasks, timeout=max(MIN_STEP_S, left_s))
+    return unfinished
+
+
 async def _run(name, step):
     try:
         result = step()
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import inspect
+import signal
 
 import pytest
 
+from balsamdale import archive_messages
+from balsamdale import errors
+from balsamdale import tcp_link
 from tests import real_node
 from tests import routed_site
 
@@ -89,3 +93,141 @@
         assert await entry.wait() == 0
 
     real_node.run(tmp_path, scenario)
+
+
+def test_signals_in_series_do_not_cut_a_stop_short(tmp_path):
+    """Guards against the loss of the last lines, and another exit status."""
+
+    async def scenario(site):
+        entry = await site.start()
+        entry.signal()
+        status = None
+        while status is None:
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+                entry.signal(number)
+            status = await entry.wait(0.002)
+        assert status == 0
+        assert entry.output.events()[-1] == 'stopped'
+
+    real_node.run(tmp_path, scenario)
+
+
+FAILING_LEAVE = """
+import asyncio
+from balsamdale import entry_node
+
+async def fail(self):
+    raise ValueError('odd')
+
+entry_node.EntryNode.leave = fail
+"""
+ENDLESS_LEAVE = """
+import asyncio
+from balsamdale import entry_node
+
+async def wait_forever(self):
+    while True:
+        try:
+            await asyncio.sleep(3600)
+        except asyncio.CancelledError:
+            pass
+
+entry_node.EntryNode.leave = wait_forever
+"""
+
+
+@pytest.mark.parametrize(
+    ('prelude', 'event'),
+    [
+        (FAILING_LEAVE, 'stop_step_failed'),
+        (ENDLESS_LEAVE, 'stop_step_unfinished'),
+    ],
+)
+def test_stop_goes_on_where_leaving_fails_or_does_not_end(
+    tmp_path, prelude, event
+):
+    """Guards against a process that is killed, or ends with an error."""
+
+    async def scenario(site):
+        entry = await site.start(prelude=prelude, grace_s=2.0)
+        entry.signal()
+        assert await entry.wait() == 0
+        lines = entry.output.lines()
+        assert 'leave' in [
+            line['step'] for line in lines if line['event'] == event
+        ]
+        assert lines[-1]['event'] == 'stopped'
+
+    real_node.run(tmp_path, scenario)
+
+
+HANGING_DISK = """
+import os, time
+
+os.fdatasync = lambda descriptor: time.sleep(3600)
+"""
+
+
+def test_disk_that_hangs_does_not_hold_up_a_stop(tmp_path):
+    """Guards against a process that waits for its threads until killed."""
+
+    async def scenario(site):
+        archive = await site.start(
+            'archive-a', 'archive', prelude=HANGING_DISK
+        )
+        address = archive.settings['link_address']
+        links = tcp_link.TcpLinks('caller', site.reserve())
+        links.set_peer_address('archive-a', address)
+        message = archive_messages.OpenTurn(
+            'p', 't', 5, '', False, 2_000_000_000.0
+        )
+        with pytest.raises(errors.LinkTimeout):
+            await links.request('archive-a', message, 0.5)
+        archive.signal()
+        assert await archive.wait() == 0
+        lines = archive.output.lines()
+        assert lines[-1]['event'] == 'stopped'
+        assert 'archive' in [line.get('step') for line in lines]
+        await links.close()
+
+    real_node.run(tmp_path, scenario)
+
+
+MANY_LINES_AT_THE_END = """
+from balsamdale import decisions
+
+record = decisions.record
+
+def record_many(event, **fields):
+    if event == 'stopped':
+        for number in range(40):
+            record('filler', text='x' * 4000)
+    record(event, **fields)
+
+decisions.record = record_many
+"""
+
+
+def test_last_lines_reach_a_reader_that_is_slow(tmp_path):
+    """Guards against a log that ends before the stop of its process."""
+
+    async def scenario(site):
+        entry = await site.start(prelude=MANY_LINES_AT_THE_END, grace_s=60.0)
+        entry.signal()
+        while entry.is_running:
+            entry.output.read_part(4096)
+            await asyncio.sleep(0.02)
+        assert entry.output.events()[-1] == 'stopped'
+
+    real_node.run(tmp_path, scenario)
+
+
+def test_reader_that_does_not_read_does_not_hold_up_an_exit(tmp_path):
+    """Guards against a process that is killed as its log is full."""
+
+    async def scenario(site):
+        entry = await site.start(prelude=MANY_LINES_AT_THE_END, grace_s=60.0)
+        entry.signal()
+        assert await entry.wait() == 0
+
+    real_node.run(tmp_path, scenario)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -72,3 +72,28 @@
     # A deadline that has passed already.
     assert not run_steps(steps, -1.0)
     assert recorded == [('stop_step_unfinished', {'step': 'persists'})]
+
+
+def test_task_that_does_not_end_is_logged_and_left(recorded):
+    """The process ends although a task goes on when it is cancelled."""
+
+    async def persist():
+        while True:
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                if may_end.is_set():
+                    raise
+
+    async def main():
+        tasks = [asyncio.create_task(persist()) for _ in range(2)]
+        tasks.append(asyncio.create_task(asyncio.sleep(3600)))
+        await asyncio.sleep(0)
+        await shutdown.cancel_tasks(asyncio.get_running_loop().time())
+        assert [task.done() for task in tasks] == [False, False, True]
+        may_end.set()
+
+    may_end = asyncio.Event()
+    asyncio.run(main())
+    assert [event for event, _ in recorded] == ['task_unfinished'] * 2
+    assert 'persist' in recorded[0][1]['task']
