--- a/balsamdale/platform/__main__.py
+++ b/balsamdale/platform/__main__.py
@@ -1,10 +1,15 @@
 """Command that runs one entry or archive instance on the platform."""
 
 import os
+import signal
 import sys
 
-from balsamdale import node
-from balsamdale.platform import adapter
+if __name__ == '__main__':
+    # The platform may tell of new settings while the rest is loaded.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from balsamdale import node  # noqa: E402
+from balsamdale.platform import adapter  # noqa: E402
 
 SETTINGS_VARIABLE = 'BALSAMDALE_SETTINGS'
 
@@ -28,7 +33,10 @@
 def main() -> None:
     """Run until SIGTERM, with the settings file that the platform wrote."""
     path = os.environ.get(SETTINGS_VARIABLE, '')
-    sys.exit(node.main(path, adapter.PlatformAdapter(), ROLES))
+    status = node.main(path, adapter.PlatformAdapter(), ROLES)
+    sys.stderr.flush()
+    # The end of the interpreter would wait for threads.
+    os._exit(status)
 
 
 if __name__ == '__main__':
