Answer requests that arrive while the listener closes

Callers saw connections cut without an answer at the end of a planned stop, up to 0.6 s after the last byte of their request. The requests had been read and were not passed on.

Cause: the listener left its end to the HTTP server, which drops whatever arrives from then on, also the rest of a request whose head or first bytes it has read, waits 0.3 s twice for that request and then cuts it. The drain also ended while a request was read and its handler had not begun.

Now the listener closes each connection by itself: one that has no part of a request at once, any other after its answer. A body that is still being received when the listener closes is refused as not run, also where its caller was asked to go on (Expect: 100-continue). The HTTP server only gets what is left after half a second, or half of the reserve. The last chunk of a body alone no longer makes a connection look as if a request had begun.

--- a/balsamdale/caller_connection.py
+++ b/balsamdale/caller_connection.py
@@ -1,5 +1,7 @@
 """Connections of callers, limited in what they read."""
 
+import asyncio
+
 from aiohttp import web
 
 from balsamdale import decisions
@@ -10,6 +12,7 @@
 # Data that one call reads from a connection, and the unread part of a body at
 # which reading is paused; a connection buffers at most three times as much.
 READ_BUFFER_BYTES = 16384
+CLOSE_POLL_INTERVAL_S = 0.02
 
 
 class Connection(web.RequestHandler):
@@ -22,16 +25,34 @@
 
     _unused_bytes = 0
     _body = None
+    # aiohttp drops its own reference when it begins to close.
+    _output = None
 
     def connection_made(self, transport):
         transport.max_size = READ_BUFFER_BYTES
+        self._output = transport
         super().connection_made(transport)
 
+    @property
+    def is_between_requests(self) -> bool:
+        """Whether all requests that were read have their responses."""
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        return is_waiting and not self._messages
+
     @property
     def is_idle(self) -> bool:
         """Whether it has had a response and no part of a next request."""
-        is_waiting = self._waiter is not None and not self._waiter.done()
-        return is_waiting and not self.awaits_request
+        return self.has_no_request and bool(self._request_count)
+
+    @property
+    def has_no_request(self) -> bool:
+        """Whether no part of a request has arrived that is not answered."""
+        return self.is_between_requests and not self._unused_bytes
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a request or a response would be cut if it ended now."""
+        return not (self._output.is_closing() or self.is_between_requests)
 
     @property
     def awaits_request(self) -> bool:
@@ -59,14 +80,20 @@
         response has left.
         """
         requests = self._request_count
-        body_bytes = self._body.total_bytes if self._body is not None else 0
+        body = self._body
+        if body is None or body.is_eof():
+            body = None
+        body_bytes = body.total_bytes if body is not None else 0
         super().data_received(data)
         if self._close or self._force_close:
             return True
         if self._request_count > requests:
             _, self._body = self._messages[-1]
             return True
-        return self._body is not None and self._body.total_bytes > body_bytes
+        # The end of a body in chunks brings no byte of it.
+        return body is not None and (
+            body.total_bytes > body_bytes or body.is_eof()
+        )
 
 
 class Server(web.Server):
@@ -81,6 +108,27 @@
             if connection.is_idle:
                 connection.force_close()
 
+    def count_unfinished(self) -> int:
+        """Return the connections with a request or unread output."""
+        return sum(c.is_unfinished for c in self.connections)
+
+    async def finish(self, until_s: float) -> None:
+        """Close each connection once its requests have been answered.
+
+        One whose request has arrived in part is read on. What is left at the
+        end of the time stays open.
+
+        Args:
+            until_s: time of the event loop at which this ends.
+        """
+        while True:
+            for connection in self.connections:
+                if connection.has_no_request:
+                    connection.force_close()
+            if not self.connections or self._loop.time() >= until_s:
+                return
+            await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
+
     def count_awaited(self) -> int:
         """Return the connections whose next request should follow at once."""
         return sum(c.awaits_request for c in self.connections)
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 import aiohttp
 from aiohttp import web
@@ -29,6 +30,8 @@
 IDLE_CONNECTION_S = 75.0
 # Time for responses in progress to finish when the listener closes.
 SHUTDOWN_TIMEOUT_S = 0.3
+# Time, twice, for aiohttp to close what is left then.
+CANCEL_TIMEOUT_S = 0.05
 # Size of a refused body up to which its connection stays usable: the rest of
 # the body has to be received to reach the next request.
 MAX_SKIPPED_BODY_BYTES = 65536
@@ -89,7 +92,7 @@
             read_bufsize=caller_connection.READ_BUFFER_BYTES,
         )
         self._runner = web.ServerRunner(
-            self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            self._server, shutdown_timeout=CANCEL_TIMEOUT_S
         )
         await self._runner.setup()
         site = web.SockSite(
@@ -118,7 +121,7 @@
 
     def is_drained(self, stop: planned_stop.PlannedStop) -> bool:
         """Return whether nothing would be cut if the listener closed now."""
-        if self.count_open():
+        if self.count_open() or self._server.count_unfinished():
             return False
         if _now_s() >= stop.awaits_requests_until_s:
             return True
@@ -127,15 +130,29 @@
     async def close(self) -> None:
         """Close the listener and all connections.
 
-        What is in progress gets a short time to end; what arrives meanwhile
-        is refused.
+        What is handled gets a short time to end. What is being received is
+        refused, as is what arrives meanwhile.
         """
         self._is_closing = True
-        for responder in self._responders.values():
+        for responder in list(self._responders.values()):
             responder.record_open()
-        self._background.cancel()
+            responder.end_input()
         if self._runner is not None:
+            for site in list(self._runner.sites):
+                await site.stop()
+            await self._server.finish(self._close_until_s())
+            for responder in list(self._responders.values()):
+                responder.abort()
             await self._runner.cleanup()
+        self._background.cancel()
+
+    def _close_until_s(self):
+        if self._planned_stop is None:
+            return _now_s() + SHUTDOWN_TIMEOUT_S
+        return min(
+            _now_s() + planned_stop.FIRST_REQUEST_WAIT_S,
+            self._planned_stop.closes_s,
+        )
 
     def _request(self, message, payload, protocol, writer, task):
         return web.BaseRequest(
@@ -170,20 +187,21 @@
 
     async def _handle_admitted(self, request, responder):
         try:
-            if request.headers.get('Expect', '').lower() == '100-continue':
-                await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-            body = await self._read_body(request, responder.holding)
+            async with responder.receiving():
+                body = await self._receive(request, responder.holding)
         except web.HTTPRequestEntityTooLarge:
             return _too_large(request)
         except errors.Refused as refused:
             return self._refuse_body(request, refused)
+        except TimeoutError:
+            body = None
         try:
             call = self._wire_format.decode_request(
-                request.method, request.raw_path, request.headers, body
+                request.method, request.raw_path, request.headers, body or b''
             )
         except errors.Refused as refused:
             return _bad_request(request, refused)
-        if not self._is_admitted(call):
+        if body is None or not self._is_admitted(call):
             return self._refuse_at_stop(call)
         if self._planned_stop is not None:
             self._record_admission(call)
@@ -192,13 +210,18 @@
         await responder.flush()
         return responder.response
 
-    async def _read_body(self, request, holding):
+    async def _receive(self, request, holding):
         """Read a body, counting it in the budget.
 
         Raises:
+            TimeoutError: the listener is closing.
             HTTPRequestEntityTooLarge: it exceeds the limit on bodies.
             Refused: there is no memory for it.
         """
+        if self._is_closing:
+            raise TimeoutError
+        if request.headers.get('Expect', '').lower() == '100-continue':
+            await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         body = bytearray()
         while chunk := await request.content.readany():
             body += chunk
@@ -322,6 +345,7 @@
         self._budget = listener.budget
         self.holding = holding
         self.response: web.StreamResponse | None = None
+        self._input: asyncio.Timeout | None = None
 
     def hold(self, size_bytes):
         is_within_limit = self._budget.keep(self.holding, size_bytes)
@@ -391,6 +415,20 @@
                 _now_s(),
             )
 
+    @contextlib.asynccontextmanager
+    async def receiving(self):
+        """Read a body until `end_input` is called, or raise TimeoutError."""
+        try:
+            async with asyncio.timeout(None) as self._input:
+                yield
+        finally:
+            self._input = None
+
+    def end_input(self):
+        """Stop receiving the body, if it is being received."""
+        if self._input is not None and not self._input.expired():
+            self._input.reschedule(_now_s())
+
     def record_open(self):
         """Log a request whose connection is about to be closed."""
         decisions.record(
--- a/balsamdale/planned_stop.py
+++ b/balsamdale/planned_stop.py
@@ -37,6 +37,11 @@
         """Time at which the remaining connections are closed."""
         return self.started_s + self.grace_s - CLOSE_RESERVE_S
 
+    @property
+    def closes_s(self) -> float:
+        """Time at which connections are closed that are still in use."""
+        return self.ends_s + CLOSE_RESERVE_S / 2
+
     @property
     def awaits_requests_until_s(self) -> float:
         """Time until which requests that are on their way are awaited."""
--- /dev/null
+++ b/tests/test_stop_connections.py
@@ -0,0 +1,391 @@
+"""Generated tests of connections during planned stops of entries."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import socket
+
+import pytest
+
+from balsamdale import planned_stop
+from tests import routed_site
+
+# Longest time from the last byte of a request to the end of its connection
+# after which the request counts as lost, also if no server has run it.
+LOSS_SLACK_S = 0.2
+LOOP_TICK_S = 0.02
+ENTRIES = 6
+CONNECTIONS = 10
+GRACE_S = 2.4
+STOPS_ACCEPTING_S = 0.4
+
+
+HELD_REQUEST = (
+    f'POST /alerts/x HTTP/1.1\r\nHost: {routed_site.HOST}\r\n'
+    'X-Request-Id: %s\r\nX-Deadline-Ms: 700\r\nContent-Length: 2\r\n\r\na'
+).encode()
+STREAM_HEADERS = {'X-Token-Usage': '100,300'}
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """One connection, and what is sent on it.
+
+    Attributes:
+        opens_s: time at which it is opened, in seconds from the signal.
+        kept_request: path of a request that it carries before; empty for
+            none.
+        parts: bytes to send, each with its time from the signal.
+        request_id: its id.
+        sends_on: whether the rest is sent though an answer has begun.
+    """
+
+    opens_s: float
+    kept_request: str
+    parts: tuple[tuple[float, bytes], ...]
+    request_id: str
+    sends_on: bool
+
+
+def encode(generator, path, request_id, body, headers):
+    """Return a request with a length or in chunks."""
+    fields = {
+        'Host': routed_site.HOST,
+        'X-Request-Id': request_id,
+        **headers,
+    }
+    if generator.random() < 0.5:
+        fields['Content-Length'] = str(len(body))
+        sent_body = body
+    else:
+        fields['Transfer-Encoding'] = 'chunked'
+        sent_body = b''.join(
+            f'{len(part):x}\r\n'.encode() + part + b'\r\n'
+            for part in (body[:3], body[3:])
+            if part
+        )
+        sent_body += b'0\r\n\r\n'
+    lines = ''.join(f'{k}: {v}\r\n' for k, v in fields.items())
+    return f'POST {path} HTTP/1.1\r\n{lines}\r\n'.encode() + sent_body
+
+
+def generate_plan(generator, request_id, last_s):
+    """Return a connection whose request is cut at random positions."""
+    headers = {'X-Deadline-Ms': str(generator.choice((700, 1200, 3000)))}
+    path = '/alerts/x'
+    if generator.random() < 0.25:
+        path = '/drafts/x'
+        headers.update(STREAM_HEADERS)
+    data = encode(
+        generator,
+        path,
+        request_id,
+        b'b' * generator.choice((0, 1, 10, 3000)),
+        headers,
+    )
+    cuts = sorted(
+        # The last bytes of a request are cut as often as all others.
+        len(data) - generator.randrange(1, 8)
+        if generator.random() < 0.5
+        else generator.randrange(len(data))
+        for _ in range(generator.randrange(4))
+    )
+    parts = [data[a:b] for a, b in itertools.pairwise((0, *cuts, len(data)))]
+    opens_s = generator.uniform(-0.3, STOPS_ACCEPTING_S)
+    times_s = sorted(generator.uniform(opens_s, last_s) for _ in cuts)
+    if cuts and generator.random() < 0.7:
+        times_s[0] = opens_s
+    return Plan(
+        opens_s=opens_s,
+        kept_request=generator.choice(('', '/reads/x', '/drafts/x')),
+        parts=tuple(zip((*times_s, last_s), parts, strict=True)),
+        request_id=request_id,
+        sends_on=generator.random() < 0.5,
+    )
+
+
+class Caller(asyncio.Protocol):
+    """Collects what an entry sends on one connection."""
+
+    def __init__(self):
+        self.received = b''
+        self.ended = asyncio.Event()
+        self.error = None
+        self.ended_at_s = 0.0
+        self.transport = None
+        self._changed = asyncio.Event()
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.received += data
+        self._changed.set()
+
+    def connection_lost(self, exc):
+        self.error = exc
+        self.ended_at_s = now_s()
+        self.ended.set()
+        self._changed.set()
+
+    @property
+    def is_whole(self):
+        """Whether a complete response was received."""
+        head, separator, body = self.received.partition(b'\r\n\r\n')
+        if not separator:
+            return False
+        for line in head.lower().split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                return len(body) >= int(line.split(b':')[1])
+        return body.endswith(b'0\r\n\r\n')
+
+    async def wait_for_answer(self):
+        while not self.is_whole and not self.ended.is_set():
+            self._changed.clear()
+            await self._changed.wait()
+
+
+class LoopWatch:
+    """Measures for how long the event loop was held up at most."""
+
+    def __init__(self):
+        self.longest_s = 0.0
+
+    async def run(self):
+        before_s = now_s()
+        while True:
+            await asyncio.sleep(LOOP_TICK_S)
+            self.longest_s = max(self.longest_s, now_s() - before_s)
+            before_s = now_s()
+
+
+def now_s():
+    return asyncio.get_running_loop().time()
+
+
+async def connect(deployment, entry, read_buffer_bytes=None):
+    address = deployment.nodes[entry].settings.entry_address
+    host, _, port = address.rpartition(':')
+    sock = socket.socket()
+    if read_buffer_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, read_buffer_bytes)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    try:
+        await loop.sock_connect(sock, (host, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    _, caller = await loop.create_connection(Caller, sock=sock)
+    return caller
+
+
+async def call(deployment, entry, plan, signal_at_s, losses, watch):
+    """Carry out a plan; record a request that is lost."""
+    await asyncio.sleep(signal_at_s + plan.opens_s - now_s())
+    try:
+        caller = await connect(deployment, entry)
+    except (OSError, KeyError):
+        return 'unconnected'
+    if plan.kept_request:
+        caller.transport.write(
+            encode(
+                random.Random(0),
+                plan.kept_request,
+                f'{plan.request_id}-before',
+                b'kept',
+                {
+                    'X-Deadline-Ms': '1000',
+                    **(
+                        STREAM_HEADERS
+                        if plan.kept_request == '/drafts/x'
+                        else {}
+                    ),
+                },
+            )
+        )
+        await caller.wait_for_answer()
+        caller.received = b''
+    for at_s, part in plan.parts:
+        await asyncio.sleep(signal_at_s + at_s - now_s())
+        if caller.ended.is_set() or (caller.received and not plan.sends_on):
+            break
+        caller.transport.write(part)
+    else:
+        sent_at_s = now_s()
+        async with asyncio.timeout(20.0):
+            await caller.wait_for_answer()
+        if caller.is_whole:
+            caller.transport.close()
+            return 'answered' + caller.received[8:12].decode()
+        was_run = deployment.run_count(plan.request_id)
+        late_s = caller.ended_at_s - sent_at_s
+        if was_run or late_s > LOSS_SLACK_S + watch.longest_s:
+            losses.append(
+                f'{plan.request_id}: run {was_run}, cut {late_s:.3f} s after '
+                f'its last byte, {caller.ended_at_s - signal_at_s:.3f} s '
+                f'after the signal ({caller.error!r}): {plan}'
+            )
+            return 'lost'
+        return 'crossed'
+    if caller.received:
+        async with asyncio.timeout(20.0):
+            await caller.wait_for_answer()
+        if not caller.is_whole:
+            losses.append(f'{plan.request_id}: answer cut: {plan}')
+    caller.transport.close()
+    return 'not sent whole'
+
+
+async def stop_entry(deployment, name, signal_at_s):
+    await asyncio.sleep(signal_at_s - now_s())
+    entry = deployment.nodes[name]
+    await entry.leave()
+    await entry.close()
+    del deployment.nodes[name]
+
+
+async def stop_all(deployment, generator):
+    """Stop several entries under load; return what happened."""
+    names = [f'entry-{n}' for n in range(ENTRIES)]
+    for name in names:
+        entry = await deployment.start(name, 'entry', grace_s=GRACE_S)
+        for service in ('engines', 'plain'):
+            await deployment.wait_until(
+                lambda entry=entry, service=service: (
+                    entry.is_ready() and entry.directory.ready(service)
+                )
+            )
+    watch = LoopWatch()
+    watching = asyncio.create_task(watch.run())
+    signal_at_s = now_s() + 0.5
+    losses, calls = [], []
+    for name in names:
+        # Most requests end near one moment of the stop.
+        moment_s = generator.uniform(STOPS_ACCEPTING_S, GRACE_S)
+        for number in range(CONNECTIONS):
+            last_s = moment_s + generator.uniform(-0.1, 0.1)
+            plan = generate_plan(generator, f'{name}-{number}', last_s)
+            if not number:
+                # It delays the end of the stop until then.
+                plan = dataclasses.replace(
+                    plan,
+                    opens_s=-0.1,
+                    kept_request='',
+                    parts=(
+                        (-0.1, HELD_REQUEST % plan.request_id.encode()),
+                        (moment_s, b'b'),
+                    ),
+                )
+            calls.append(
+                call(deployment, name, plan, signal_at_s, losses, watch)
+            )
+    stops = [stop_entry(deployment, name, signal_at_s) for name in names]
+    outcomes = (await asyncio.gather(*calls, *stops))[: len(calls)]
+    watching.cancel()
+    return losses, outcomes
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_request_that_was_read_whole_is_answered_at_a_planned_stop(
+    tmp_path, monkeypatch, seed
+):
+    """Guards against requests cut while the drain of an entry ends."""
+    monkeypatch.setattr(
+        planned_stop, 'STALE_REGISTRY_DRAIN_S', STOPS_ACCEPTING_S
+    )
+    found = []
+
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.delay_s = 0.03
+            server.switches.events = 4
+            server.switches.event_gap_s = 0.05
+        losses, outcomes = await stop_all(deployment, random.Random(seed))
+        found.extend(losses)
+        print({o: outcomes.count(o) for o in sorted(set(outcomes))})
+
+    routed_site.run(tmp_path, scenario)
+    assert not found
+
+
+@pytest.fixture
+def early_stop(monkeypatch):
+    """Close the listening socket early in the grace period."""
+    monkeypatch.setattr(
+        planned_stop, 'STALE_REGISTRY_DRAIN_S', STOPS_ACCEPTING_S
+    )
+
+
+async def start_entry(deployment, grace_s, **changes):
+    """Start another entry that serves, and return it."""
+    entry = await deployment.start(
+        'entry-c', 'entry', grace_s=grace_s, **changes
+    )
+    for service in ('engines', 'plain'):
+        await deployment.wait_until(
+            lambda service=service: (
+                entry.is_ready() and entry.directory.ready(service)
+            )
+        )
+    return entry
+
+
+def request(path, request_id, body=b'', length=None, **headers):
+    """Return a request, or the first part of one that is longer."""
+    fields = {
+        'Host': routed_site.HOST,
+        'X-Request-Id': request_id,
+        'X-Deadline-Ms': '1000',
+        'Content-Length': len(body) if length is None else length,
+        **headers,
+    }
+    lines = ''.join(f'{k}: {v}\r\n' for k, v in fields.items())
+    return f'POST {path} HTTP/1.1\r\n{lines}\r\n'.encode() + body
+
+
+async def leave_and_close(deployment):
+    entry = deployment.nodes.pop('entry-c')
+    await entry.leave()
+    await entry.close()
+
+
+CHUNKED = (
+    f'POST /alerts/x HTTP/1.1\r\nHost: {routed_site.HOST}\r\n'
+    'X-Request-Id: r\r\nX-Deadline-Ms: 1000\r\n'
+    'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'
+).encode()
+
+
+@pytest.mark.parametrize('missing_bytes', [2, 5, 7, 9, 12, 20, 60])
+def test_request_whose_end_arrives_while_the_listener_closes_is_answered(
+    tmp_path, early_stop, missing_bytes
+):
+    """Guards against dropping the rest of a request at the end of a stop.
+
+    The connection used to be cut half a second after its last byte.
+    """
+
+    async def scenario(deployment):
+        entry = await start_entry(deployment, 2.0)
+        caller = await connect(deployment, 'entry-c')
+        # A body that does not come keeps the stop from ending early.
+        other = await connect(deployment, 'entry-c')
+        other.transport.write(request('/alerts/x', 'other', b'a', length=2))
+        await deployment.wait_until(entry.listener.count_open)
+        caller.transport.write(CHUNKED[:-missing_bytes])
+        await entry.leave()
+        closing = asyncio.create_task(entry.close())
+        await asyncio.sleep(0.05)
+        caller.transport.write(CHUNKED[-missing_bytes:])
+        await caller.wait_for_answer()
+        assert caller.is_whole
+        assert caller.received.startswith(b'HTTP/1.1 503')
+        await other.wait_for_answer()
+        assert other.is_whole
+        await closing
+        del deployment.nodes['entry-c']
+        assert not deployment.run_count('r')
+
+    routed_site.run(tmp_path, scenario)
