Deliver a whole answer whose caller reads late

A caller that read a large answer slowly saw it cut at the deadline of its request, or when the entry's process ended, though all of it had come from the server and only waited to be read.

Cause: the deadline also covered the wait for the caller to read a response that is sent in one piece, and cut the connection when it passed. A planned stop counted a request as ended once its answer was handed to the transport; what the transport had not sent by the end of the process was lost.

Now a response in one piece is handed to the transport without a wait, and a planned stop goes on, until its end, while a connection has output that is not sent. The budget of memory still counts it and may still disconnect a slow caller.

Evidence: test_answer_that_its_caller_has_not_read_outlasts_a_planned_stop failed before, with and without a memory limit: the stop was over and the answer cut while 4 MB were unread.

--- a/balsamdale/caller_connection.py
+++ b/balsamdale/caller_connection.py
@@ -51,7 +51,12 @@
 
     @property
     def is_unfinished(self) -> bool:
-        """Whether a request or a response would be cut if it ended now."""
+        """Whether a request or a response would be cut if it ended now.
+
+        That is also an answer that its caller has not read.
+        """
+        if self._output.get_write_buffer_size():
+            return True
         return not (self._output.is_closing() or self.is_between_requests)
 
     @property
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -35,6 +35,8 @@
 # Size of a refused body up to which its connection stays usable: the rest of
 # the body has to be received to reach the next request.
 MAX_SKIPPED_BODY_BYTES = 65536
+# More than the head of a response.
+MAX_HEAD_BYTES = 65536
 # Seconds between checks of the output that callers have not read.
 OUTPUT_CHECK_INTERVAL_S = 0.25
 
@@ -358,6 +360,8 @@
         self.response = web.Response(status=status, body=body)
         self._put_headers(headers)
         self.has_begun = True
+        # The deadline must not cut what only waits to be read.
+        self._set_output_limit(len(body) + MAX_HEAD_BYTES)
         await self._guard(self.response.prepare(self._request))
         await self._guard(self.response.write_eof())
 
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -18,6 +18,9 @@
 ENTRIES = 6
 CONNECTIONS = 10
 GRACE_S = 2.4
+# The kernel buffers only a small part of such an answer.
+LARGE_BODY_BYTES = 4_000_000
+READ_BUFFER_BYTES = 8192
 STOPS_ACCEPTING_S = 0.4
 
 
@@ -389,3 +392,32 @@
         assert not deployment.run_count('r')
 
     routed_site.run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize('memory_limit_mb', [0, 400])
+def test_answer_that_its_caller_has_not_read_outlasts_a_planned_stop(
+    tmp_path, early_stop, memory_limit_mb
+):
+    """Guards against ending the process with an answer in its buffer."""
+
+    async def scenario(deployment):
+        entry = await start_entry(
+            deployment, 12.0, memory_limit_mb=memory_limit_mb
+        )
+        caller = await connect(deployment, 'entry-c', READ_BUFFER_BYTES)
+        caller.transport.pause_reading()
+        caller.transport.write(
+            request('/reads/x', 'r', b'b' * LARGE_BODY_BYTES)
+        )
+        counts = entry.handler.outcome_counts
+        await deployment.wait_until(lambda: counts)
+        stopping = asyncio.create_task(leave_and_close(deployment))
+        await asyncio.sleep(1.5)
+        assert not stopping.done()
+        caller.transport.resume_reading()
+        await caller.wait_for_answer()
+        assert caller.is_whole
+        assert counts == {'ok': 1}
+        await stopping
+
+    routed_site.run(tmp_path, scenario)
