Answer pipelined requests of a planned stop before closing

A caller that sent a second request behind one that was being handled got the first answer and then the end of the connection, though the entry had read both.

Cause: each answer of a stopping entry says that its connection closes, and the HTTP server drops what it has queued behind it.

Now a response says so only if no request that was read waits behind it, and so do refusals of a malformed or too large request, which left their connection open until the stop ended.

Evidence: test_pipelined_requests_are_answered_at_a_planned_stop failed before: one of two answers came.

--- a/balsamdale/caller_connection.py
+++ b/balsamdale/caller_connection.py
@@ -33,6 +33,11 @@
         self._output = transport
         super().connection_made(transport)
 
+    @property
+    def has_queued_request(self) -> bool:
+        """Whether another request was read behind the one being handled."""
+        return bool(self._messages)
+
     @property
     def is_between_requests(self) -> bool:
         """Whether all requests that were read have their responses."""
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -80,6 +80,13 @@
         """Whether connections are closed after each response."""
         return self._planned_stop is not None or self._is_closing
 
+    def closes_after(self, request: web.BaseRequest) -> bool:
+        """Return whether a connection is closed after a response.
+
+        Requests that were read behind it are answered first.
+        """
+        return self.is_leaving and not request.protocol.has_queued_request
+
     async def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
         self._server = caller_connection.Server(
@@ -168,6 +175,12 @@
         )
 
     async def _handle(self, request):
+        response = await self._respond(request)
+        if not response.prepared and self.closes_after(request):
+            response.force_close()
+        return response
+
+    async def _respond(self, request):
         try:
             _check_length(request, self._limits.body_bytes)
             holding = self.budget.admit(request.content_length, _now_s())
@@ -276,8 +289,6 @@
             call.request_id, refused
         ):
             response.headers.add(name, value)
-        if self.is_leaving:
-            response.force_close()
         return response
 
     def _refuse_body(self, request, refused):
@@ -466,7 +477,7 @@
     def _put_headers(self, headers):
         for name, value in headers:
             self.response.headers.add(name, value)
-        if self._listener.is_leaving:
+        if self._listener.closes_after(self._request):
             self.response.force_close()
 
     async def _guard(self, writing):
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -421,3 +421,26 @@
         await stopping
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_pipelined_requests_are_answered_at_a_planned_stop(
+    tmp_path, early_stop
+):
+    """Guards against reading a request behind another and dropping it."""
+
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.delay_s = 0.2
+        await start_entry(deployment, 3.0)
+        caller = await connect(deployment, 'entry-c')
+        caller.transport.write(request('/alerts/x', 'r1', b'b'))
+        caller.transport.write(request('/alerts/x', 'r2', b'c'))
+        caller.transport.write(request('/alerts/x', '', b'd'))
+        await deployment.wait_until(lambda: deployment.run_count('r1'))
+        await leave_and_close(deployment)
+        await caller.ended.wait()
+        assert caller.received.count(b'HTTP/1.1 200') == 2
+        assert caller.received.count(b'HTTP/1.1 400') == 1
+        assert caller.received.count(b'Connection: close') == 1
+
+    routed_site.run(tmp_path, scenario)
