Refuse what has no response when a planned stop ends

A request that was admitted early in a planned stop, and that waited for a server or an archive when the stop ended, had its connection closed without any answer: 0.6 s after the end of the drain, whether or not it had been passed on.

Cause: the end of a stop was left to the cancellation of handlers, which says nothing to callers, though what waits has not begun a response.

Now all requests without a response are refused when the drain ends: 503 (not run) if they were not sent to a server, else 504, which promises nothing. Responses that have begun go on until connections are closed.

Evidence: test_request_without_an_answer_is_refused_at_the_end_of_a_stop failed before for grace periods of 1.5 and 3 s, passed on or not.

--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -281,6 +281,7 @@
             sent_for_others=self.server_paths.count_sending(),
             refused_at_stop=self.listener.refused_at_stop,
         )
+        self.handler.end_unanswered()
 
     async def close(self) -> None:
         await self.listener.close()
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -48,6 +48,8 @@
         self._delivery = delivery.Delivery(context)
         self.attempts = attempts.Attempts(context)
         self.in_flight = 0
+        self._timeouts: dict[asyncio.Timeout, request_state.Responder] = {}
+        self._is_stopping = False
         self.outcome_counts: dict[str, int] = {}
 
     async def serve(
@@ -61,14 +63,19 @@
         self.in_flight += 1
         try:
             state = self._create_state(call, responder, started_s)
-            async with asyncio.timeout_at(state.deadline_s):
-                await self._run(state)
+            async with asyncio.timeout_at(state.deadline_s) as timeout:
+                self._timeouts[timeout] = responder
+                try:
+                    await self._run(state)
+                finally:
+                    del self._timeouts[timeout]
         except errors.Refused as refused:
             code, reason, ran = refused.code, refused.detail, refused.ran
             await self._refuse(call, responder, refused)
         except TimeoutError:
-            code = 'timed_out'
-            await self._refuse(call, responder, _timed_out(state))
+            refused = self._timeout_refusal(state)
+            code = refused.code
+            await self._refuse(call, responder, refused)
         except errors.CallerDisconnected as error:
             code, reason = 'caller_gone', str(error)
             responder.abort()
@@ -82,12 +89,29 @@
             took_s = context.clock() - started_s
             self._record_outcome(call, state, took_s, code, reason)
 
+    def end_unanswered(self) -> None:
+        """Refuse all requests whose responses have not begun.
+
+        Their connections are about to be closed, so it is too late for
+        other answers.
+        """
+        self._is_stopping = True
+        now_s = asyncio.get_running_loop().time()
+        for timeout, responder in self._timeouts.items():
+            if not (responder.has_begun or timeout.expired()):
+                timeout.reschedule(now_s)
+
     def time_limit_s(self, call: wire.Call) -> float:
         """Return how long a request may take; 0 if none can serve it."""
         table = self._context.table()
         route = table and table.match(call.host, call.path)
         return _time_limit_s(route, call) if route is not None else 0.0
 
+    def _timeout_refusal(self, state):
+        if self._is_stopping and self._context.clock() < state.deadline_s:
+            return _stopped(state)
+        return _timed_out(state)
+
     def _create_state(self, call, responder, now_s):
         table = self._context.table()
         if table is None:
@@ -340,3 +364,11 @@
         'no',
         attempts.CALLER_RETRY_AFTER_S,
     )
+
+
+def _stopped(state):
+    if state.attempts:
+        return errors.Refused(
+            'stopping', 504, 'this instance stopped before the end', 'unknown'
+        )
+    return errors.Refused('stopping', 503, 'this instance stops', 'no', 0.0)
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -444,3 +444,47 @@
         assert caller.received.count(b'Connection: close') == 1
 
     routed_site.run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize('grace_s', [1.5, 3.0])
+@pytest.mark.parametrize('is_passed_on', [False, True])
+def test_request_without_an_answer_is_refused_at_the_end_of_a_stop(
+    tmp_path, early_stop, grace_s, is_passed_on
+):
+    """Guards against cutting what waits for a server or an archive."""
+
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.delay_s = 30.0
+        entry = await start_entry(deployment, grace_s)
+        if not is_passed_on:
+
+            async def reserve(*_):
+                await asyncio.Event().wait()
+
+            entry.quorum.reserve = reserve
+        caller = await connect(deployment, 'entry-c')
+        turn = request(
+            '/turns/x',
+            'r',
+            b'b',
+            **STREAM_HEADERS,
+            **{
+                'X-Deadline-Ms': '9000',
+                'X-Program-Id': 'p',
+                'X-Token-Budget': '1000',
+            },
+        )
+        caller.transport.write(turn)
+        await deployment.wait_until(lambda: entry.handler.in_flight)
+        if is_passed_on:
+            await deployment.wait_until(lambda: deployment.run_count('r'))
+        await leave_and_close(deployment)
+        await caller.ended.wait()
+        assert caller.is_whole
+        status = b'504' if is_passed_on else b'503'
+        assert caller.received.startswith(b'HTTP/1.1 ' + status)
+        assert deployment.run_count('r') == is_passed_on
+        assert entry.handler.outcome_counts == {'stopping': 1}
+
+    routed_site.run(tmp_path, scenario)
