Reserve at most a sixth of a short grace period for closing

Under a grace period of a second, an entry refused or cut on SIGTERM all that it was handling, and under one of three seconds it used a third of the time for closing.

Cause: one second is reserved for closing, whatever the grace period.

Now the reserve is a second or a sixth of the grace period, if that is less. Nothing changes for 6 s and more.

Evidence: test_request_in_flight_at_a_short_planned_stop_is_answered failed before under a grace period of 1 s; the request was refused at once.

--- a/balsamdale/planned_stop.py
+++ b/balsamdale/planned_stop.py
@@ -7,8 +7,10 @@
 # Time for which callers that cached this instance's address still come:
 # longer than they keep a response of the registry.
 STALE_REGISTRY_DRAIN_S = 3.0
-# Part of the platform's grace period that is reserved for closing.
+# Part of the platform's grace period that is reserved for closing, and its
+# largest share of a short one.
 CLOSE_RESERVE_S = 1.0
+CLOSE_RESERVE_SHARE = 1 / 6
 # Time for the request that a connection was opened for, or whose head has
 # arrived in part, after the listening socket is closed.
 FIRST_REQUEST_WAIT_S = 0.5
@@ -26,21 +28,26 @@
     started_s: float
     grace_s: float
 
+    @property
+    def close_reserve_s(self) -> float:
+        """Time that is reserved for closing."""
+        return min(CLOSE_RESERVE_S, CLOSE_RESERVE_SHARE * self.grace_s)
+
     @property
     def stops_accepting_s(self) -> float:
         """Time from which no new connection is accepted."""
-        drain_s = self.grace_s - CLOSE_RESERVE_S
+        drain_s = self.grace_s - self.close_reserve_s
         return self.started_s + min(STALE_REGISTRY_DRAIN_S, drain_s / 2)
 
     @property
     def ends_s(self) -> float:
-        """Time at which the remaining connections are closed."""
-        return self.started_s + self.grace_s - CLOSE_RESERVE_S
+        """Time at which the drain ends, whatever is open."""
+        return self.started_s + self.grace_s - self.close_reserve_s
 
     @property
     def closes_s(self) -> float:
         """Time at which connections are closed that are still in use."""
-        return self.ends_s + CLOSE_RESERVE_S / 2
+        return self.ends_s + self.close_reserve_s / 2
 
     @property
     def awaits_requests_until_s(self) -> float:
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -488,3 +488,24 @@
         assert entry.handler.outcome_counts == {'stopping': 1}
 
     routed_site.run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize('grace_s', [1.0, 3.0])
+def test_request_in_flight_at_a_short_planned_stop_is_answered(
+    tmp_path, grace_s
+):
+    """Guards against short grace periods that are used up for closing."""
+
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.delay_s = grace_s / 8
+        await start_entry(deployment, grace_s)
+        caller = await connect(deployment, 'entry-c')
+        caller.transport.write(request('/alerts/x', 'r', b'b'))
+        await deployment.wait_until(lambda: deployment.run_count('r'))
+        await leave_and_close(deployment)
+        await caller.ended.wait()
+        assert caller.received.startswith(b'HTTP/1.1 200')
+        assert caller.is_whole
+
+    routed_site.run(tmp_path, scenario)
