--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -282,6 +282,7 @@
             sent_for_others=self.server_paths.count_sending(),
             refused_at_stop=self.listener.refused_at_stop,
         )
+        self.handler.end_unanswered()
 
     def close_stages(self) -> tuple[dict[str, shutdown.Step], ...]:
         work, connections = super().close_stages()
