Give up a registration although its announcement fails

A stopping instance tells its peers that it leaves, then revokes its lease. An error in the first that is none of the links kept the second from being done: its registration stayed for up to 9 s, until the lease ended or a watcher evicted it, and callers were sent to its address.

The error is logged, and the lease is revoked. Found by reading; no such error has been seen. The test fails on the commit before and passes here.

--- a/balsamdale/members.py
+++ b/balsamdale/members.py
@@ -376,7 +376,11 @@
         """
         self._is_leaving = True
         started_s = _now_s()
-        await self._announce(self._member(), True)
+        try:
+            await self._announce(self._member(), True)
+        except Exception as error:
+            # Peers learn it from the store, too.
+            decisions.record('announcement_lost', reason=repr(error))
         decisions.record('leave_announced', took_s=_since_s(started_s))
         for _ in range(MAX_REVOKE_ATTEMPTS):
             if not self.lease:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -284,3 +284,22 @@
 
 async def _announce_nothing(_member, _is_leaving):
     """Take the place of the announcement to peers."""
+
+
+def test_announcement_that_fails_does_not_keep_a_registration():
+    """Guards against an instance that callers look for after its stop."""
+
+    async def scenario():
+        cluster = MemberCluster('x', 'y')
+        await asyncio.sleep(0.5)
+
+        async def fail(_member, _is_leaving):
+            raise ValueError('odd')
+
+        registration = cluster.registrations['y']
+        registration._announce = fail
+        await registration.leave()
+        pairs, _ = await cluster.store.scan(members.KEY_PREFIX)
+        assert [p.key for p in pairs] == [members.registration_key('x')]
+
+    virtual.run(scenario())
