Count an archive's leaving from its signal

What was seen in a trial: an archive that is stopped while the store does not reply tries to revoke its lease three times, for 5.5 s in all, and only then waits for its replies; with a grace period under 7 s it is killed meanwhile.

Cause: the leaving of an archive was not bounded by its grace period, as that of an entry was before.

The registration has the grace period from the signal, less the wait for replies and the reserve for closing. What is left then ends with its lease; the peers have been told directly at the start.

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -16,6 +16,7 @@
 from balsamdale import metrics
 from balsamdale import node
 from balsamdale import node_settings
+from balsamdale import planned_stop
 from balsamdale import quota_service
 from balsamdale import replica_set
 from balsamdale import shutdown
@@ -102,7 +103,11 @@
         }
 
     async def leave(self) -> None:
-        await super().leave()
+        loop = asyncio.get_running_loop()
+        drain_s = self.settings.grace_s - planned_stop.CLOSE_RESERVE_S
+        drains_at_s = loop.time() + drain_s - REPLY_DRAIN_S
+        # A store that does not reply must not use up the grace period.
+        await shutdown.run_steps({'registration': super().leave}, drains_at_s)
         await asyncio.sleep(REPLY_DRAIN_S)
 
     def close_stages(self) -> tuple[dict[str, shutdown.Step], ...]:
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -231,3 +231,26 @@
         assert await entry.wait() == 0
 
     real_node.run(tmp_path, scenario)
+
+
+def test_silent_store_does_not_hold_up_the_stop_of_an_archive(tmp_path):
+    """Guards against a drain that is cut by the end of the grace period."""
+
+    async def scenario(deployment):
+        archive = deployment.nodes.pop('archive-a')
+        revoking = asyncio.Event()
+
+        async def revoke_without_reply(_lease):
+            revoking.set()
+            await asyncio.Event().wait()
+
+        archive.store.revoke_lease = revoke_without_reply
+        await archive.leave()
+        assert revoking.is_set()
+        # Its peers know it all the same.
+        entry = deployment.nodes['entry-a']
+        names = {m.instance_id for m in entry.member_directory.archives()}
+        assert names == {'archive-b', 'archive-c'}
+        await archive.close()
+
+    routed_site.run(tmp_path, scenario)
