Do not limit the rate of lines during a stop

What was seen in a trial: an entry that serves about 600 requests per second while it stops leaves no line of 388 out of 737 of them. It had dropped 720 lines, as it writes 400 per second at most. Any line may be among them, also the one of a request that is cut (`open_at_close`).

From the signal on, lines are limited only by the buffer.

--- a/balsamdale/decisions.py
+++ b/balsamdale/decisions.py
@@ -80,7 +80,9 @@
     def write_through(self) -> None:
         """Write each line at once from now on, without blocking.
 
-        A process that is killed loses the lines that it has buffered.
+        A process that is killed loses the lines that it has buffered. The
+        rate is not limited any more: these lines tell what became of the last
+        requests, and there is no later one to count those dropped.
         """
         self._is_write_through = True
         self.flush()
@@ -101,10 +103,11 @@
             self._allowed_lines + elapsed_s * self._lines_per_s,
         )
         self._refilled_at_s = now_s
-        if self._allowed_lines < 1 or len(self._buffer) > MAX_BUFFERED_BYTES:
+        is_limited = self._allowed_lines < 1 and not self._is_write_through
+        if is_limited or len(self._buffer) > MAX_BUFFERED_BYTES:
             self.dropped_count += 1
             return False
-        self._allowed_lines -= 1
+        self._allowed_lines = max(0.0, self._allowed_lines - 1)
         if self.dropped_count > self._reported_dropped_count:
             fields = {**fields, 'lines_dropped': self.dropped_count}
             self._reported_dropped_count = self.dropped_count
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -91,6 +91,16 @@
     assert not log.waiting_bytes
 
 
+def test_lines_of_a_stop_are_not_limited_in_their_rate():
+    """Guards against cut requests that no line of the log names."""
+    reader, writer = os.pipe()
+    log = decisions.DecisionLog(writer, 'e1', lines_per_s=10.0)
+    log.write_through()
+    assert all(log.add(5.0, 'x', {}) for _ in range(50))
+    assert len(read_lines(reader)) == 50
+    assert not log.dropped_count
+
+
 def test_lines_written_through_wait_for_a_reader_that_does_not_read():
     reader, writer = os.pipe()
     log = decisions.DecisionLog(writer, 'e1', lines_per_s=1e9)
