Close balsamdaled although its leaving fails

What callers would see: an instance that is stopped while the key-value service is away cannot hand its shards over. That error ended the process, so that its API was not closed in order and open calls were cut.

Cause: the steps of its stop were written one after the other, and an error left out those that follow. Each is carried out now; the first error still ends the process with a traceback and status 1.

Found by reading; it was not seen in a run.

--- a/balsamdale/daemon.py
+++ b/balsamdale/daemon.py
@@ -1,6 +1,7 @@
 """The daemon `balsamdaled`: one instance that runs programs."""
 
 import asyncio
+import contextlib
 import signal
 import sys
 import time
@@ -57,9 +58,11 @@
     await entry_api.listen()
     await served_instance.start()
     await stop_requested.wait()
-    await served_instance.leave()
-    await entry_api.close()
-    await served_instance.close()
+    async with contextlib.AsyncExitStack() as closing:
+        # Each is carried out although one before it fails.
+        closing.push_async_callback(served_instance.close)
+        closing.push_async_callback(entry_api.close)
+        await served_instance.leave()
 
 
 def _build_dependencies(instance_settings):
