Serve connections that are accepted as a stop stops accepting

A caller whose connection was made at the moment at which a stopping entry closed its listening socket saw the connection end without an answer, with its request sent, and in some cases read.

Cause: asyncio makes a connection known to its protocol two steps of the event loop after it has accepted it, and fails to if its server was closed in between. The stop looked for open connections in the same step in which it closed the server, found none, and ended. Connections that only the kernel had accepted were reset.

Now the listener stops accepting first, waits for those two steps, takes over what the kernel has accepted, and then closes the socket; the drain looks for open connections only after one of its intervals.

--- a/balsamdale/caller_connection.py
+++ b/balsamdale/caller_connection.py
@@ -1,13 +1,15 @@
 """Connections of callers, limited in what they read."""
 
 import asyncio
+from collections import abc as collections_abc
+import socket
 
 from aiohttp import web
 
 from balsamdale import decisions
 from balsamdale import http_connection
 
-__all__ = ['READ_BUFFER_BYTES', 'Connection', 'Server']
+__all__ = ['READ_BUFFER_BYTES', 'Connection', 'Server', 'accept_waiting']
 
 # Data that one call reads from a connection, and the unread part of a body at
 # which reading is paused; a connection buffers at most three times as much.
@@ -145,3 +147,22 @@
 
     def __call__(self):
         return Connection(self, loop=self._loop, **self._kwargs)
+
+
+def accept_waiting(
+    listening: socket.socket,
+) -> collections_abc.Iterator[socket.socket]:
+    """Yield the connections that the kernel has accepted.
+
+    Args:
+        listening: a listening socket that does not block.
+    """
+    while True:
+        try:
+            accepted, _ = listening.accept()
+        except OSError as error:
+            if not isinstance(error, BlockingIOError):
+                decisions.record('accept_failed', reason=str(error))
+            return
+        accepted.setblocking(False)
+        yield accepted
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -270,11 +270,7 @@
         decisions.record(
             'accepting_stopped', open_requests=self.listener.count_open()
         )
-        while _loop_time_s() < stop.ends_s and (
-            self.server_paths.count_sending()
-            or not self.listener.is_drained(stop)
-        ):
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self._drain(stop)
         decisions.record(
             'drained',
             open_requests=self.listener.count_open(),
@@ -283,6 +279,15 @@
         )
         self.handler.end_unanswered()
 
+    async def _drain(self, stop):
+        """Wait until nothing is open, or until the stop has to end."""
+        while _loop_time_s() < stop.ends_s:
+            # The listener learns of what it has accepted only after this.
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+            is_sending = self.server_paths.count_sending()
+            if self.listener.is_drained(stop) and not is_sending:
+                return
+
     async def close(self) -> None:
         await self.listener.close()
         self.quota_client.close()
--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import aiohttp
 from aiohttp import web
@@ -70,6 +71,7 @@
         self._limits = limits
         self._runner: web.ServerRunner | None = None
         self._is_checking = False
+        self._socket: socket.socket | None = None
         self._server: caller_connection.Server | None = None
         self._planned_stop: planned_stop.PlannedStop | None = None
         self._is_closing = False
@@ -104,11 +106,8 @@
             self._server, shutdown_timeout=CANCEL_TIMEOUT_S
         )
         await self._runner.setup()
-        site = web.SockSite(
-            self._runner,
-            sockets.create_listening_socket(address),
-            backlog=BACKLOG,
-        )
+        self._socket = sockets.create_listening_socket(address)
+        site = web.SockSite(self._runner, self._socket, backlog=BACKLOG)
         await site.start()
 
     def begin_stop(self, stop: planned_stop.PlannedStop) -> None:
@@ -118,11 +117,24 @@
     async def stop_accepting(self) -> None:
         """Accept no new connections, and close those that are idle.
 
-        The others are served on.
+        The others are served on, also those that the kernel has accepted.
         """
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._socket)
+        # asyncio closes a connection that it is accepting with its server:
+        # after two steps of the loop there is none.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        accepted = list(caller_connection.accept_waiting(self._socket))
+        await self._close_sites()
+        await asyncio.gather(
+            *(loop.connect_accepted_socket(self._server, s) for s in accepted)
+        )
+        self._server.close_idle()
+
+    async def _close_sites(self):
         for site in list(self._runner.sites):
             await site.stop()
-        self._server.close_idle()
 
     def count_open(self) -> int:
         """Return the requests that are received, handled or answered."""
@@ -147,8 +159,7 @@
             responder.record_open()
             responder.end_input()
         if self._runner is not None:
-            for site in list(self._runner.sites):
-                await site.stop()
+            await self._close_sites()
             await self._server.finish(self._close_until_s())
             for responder in list(self._responders.values()):
                 responder.abort()
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -509,3 +509,35 @@
         assert caller.is_whole
 
     routed_site.run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize('loop_steps', range(5))
+def test_connection_accepted_with_the_last_loop_steps_is_served(
+    tmp_path, early_stop, loop_steps
+):
+    """Guards against ending a stop before accepted connections are known."""
+
+    async def scenario(deployment):
+        entry = await start_entry(deployment, 3.0)
+        host, _, port = entry.settings.entry_address.rpartition(':')
+        stop_accepting = entry.listener.stop_accepting
+        sock = socket.socket()
+
+        async def connect_and_stop_accepting():
+            # The kernel completes the connection without the event loop.
+            sock.connect((host, int(port)))
+            sock.send(request('/alerts/x', 'r', b'b'))
+            for _ in range(loop_steps):
+                await asyncio.sleep(0)
+            await stop_accepting()
+
+        entry.listener.stop_accepting = connect_and_stop_accepting
+        await leave_and_close(deployment)
+        sock.setblocking(False)
+        _, caller = await asyncio.get_running_loop().create_connection(
+            Caller, sock=sock
+        )
+        await caller.wait_for_answer()
+        assert caller.is_whole
+
+    routed_site.run(tmp_path, scenario)
