Refuse unanswered requests also if a drain is ended from outside

A drain that is cancelled at a deadline left the requests without a response to be cut. They are refused now as at the end of a drain, which is recorded in either case. The reserve for closing can be asked for by grace period, so that other parts of a stop keep to the same one.

--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -264,20 +264,23 @@
         self.server_paths.leave()
         # A store that does not reply must not use up the grace period.
         self._background.spawn(super().leave())
-        await asyncio.sleep(stop.stops_accepting_s - _loop_time_s())
-        # Under load there would always be a request that was just accepted.
-        await self.listener.stop_accepting()
-        decisions.record(
-            'accepting_stopped', open_requests=self.listener.count_open()
-        )
-        await self._drain(stop)
-        decisions.record(
-            'drained',
-            open_requests=self.listener.count_open(),
-            sent_for_others=self.server_paths.count_sending(),
-            refused_at_stop=self.listener.refused_at_stop,
-        )
-        self.handler.end_unanswered()
+        try:
+            await asyncio.sleep(stop.stops_accepting_s - _loop_time_s())
+            # Under load there would always be a request that was just
+            # accepted.
+            await self.listener.stop_accepting()
+            decisions.record(
+                'accepting_stopped', open_requests=self.listener.count_open()
+            )
+            await self._drain(stop)
+        finally:
+            decisions.record(
+                'drained',
+                open_requests=self.listener.count_open(),
+                sent_for_others=self.server_paths.count_sending(),
+                refused_at_stop=self.listener.refused_at_stop,
+            )
+            self.handler.end_unanswered()
 
     async def _drain(self, stop):
         """Wait until nothing is open, or until the stop has to end."""
--- a/balsamdale/planned_stop.py
+++ b/balsamdale/planned_stop.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ['PlannedStop']
+__all__ = ['PlannedStop', 'close_reserve_s']
 
 # Time for which callers that cached this instance's address still come:
 # longer than they keep a response of the registry.
@@ -16,6 +16,11 @@
 FIRST_REQUEST_WAIT_S = 0.5
 
 
+def close_reserve_s(grace_s: float) -> float:
+    """Return the part of a grace period that is reserved for closing."""
+    return min(CLOSE_RESERVE_S, CLOSE_RESERVE_SHARE * grace_s)
+
+
 @dataclasses.dataclass(frozen=True)
 class PlannedStop:
     """A planned stop; all times are of one monotonic clock, in seconds.
@@ -31,7 +36,7 @@
     @property
     def close_reserve_s(self) -> float:
         """Time that is reserved for closing."""
-        return min(CLOSE_RESERVE_S, CLOSE_RESERVE_SHARE * self.grace_s)
+        return close_reserve_s(self.grace_s)
 
     @property
     def stops_accepting_s(self) -> float:
