--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -265,24 +265,32 @@
         self.server_paths.leave()
         # A store that does not reply must not use up the grace period.
         self._background.spawn(super().leave())
-        await asyncio.sleep(stop.stops_accepting_s - _loop_time_s())
-        # Under load there would always be a request that was just accepted.
-        await self.listener.stop_accepting()
-        decisions.record(
-            'accepting_stopped', open_requests=self.listener.count_open()
-        )
-        while _loop_time_s() < stop.ends_s and (
-            self.server_paths.count_sending()
-            or not self.listener.is_drained(stop)
-        ):
+        try:
+            await asyncio.sleep(stop.stops_accepting_s - _loop_time_s())
+            # Under load there would always be a request that was just
+            # accepted.
+            await self.listener.stop_accepting()
+            decisions.record(
+                'accepting_stopped', open_requests=self.listener.count_open()
+            )
+            await self._drain(stop)
+        finally:
+            decisions.record(
+                'drained',
+                open_requests=self.listener.count_open(),
+                sent_for_others=self.server_paths.count_sending(),
+                refused_at_stop=self.listener.refused_at_stop,
+            )
+            self.handler.end_unanswered()
+
+    async def _drain(self, stop):
+        """Wait until nothing is open, or until the stop has to end."""
+        while _loop_time_s() < stop.ends_s:
+            # The listener learns of what it has accepted only after this.
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        decisions.record(
-            'drained',
-            open_requests=self.listener.count_open(),
-            sent_for_others=self.server_paths.count_sending(),
-            refused_at_stop=self.listener.refused_at_stop,
-        )
-        self.handler.end_unanswered()
+            is_sending = self.server_paths.count_sending()
+            if self.listener.is_drained(stop) and not is_sending:
+                return
 
     def close_stages(self) -> tuple[dict[str, shutdown.Step], ...]:
         work, connections = super().close_stages()
