Ignore the signal to reload once an instance stops

A stopping instance went on checking its settings at each SIGHUP, and logged it after its last line (`stopped`). It has no use for new settings.

--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -292,6 +292,8 @@
     gc.collect()
     gc.freeze()
     await stop_requested.wait()
+    # An instance that stops has no use for new settings.
+    loop.add_signal_handler(signal.SIGHUP, _ignore_reload)
     stopping_at_s = loop.time()
     ends_s = stopping_at_s + settings.grace_s
     # A process that is killed at the end of its grace period still tells
@@ -308,6 +310,10 @@
     return ends_s
 
 
+def _ignore_reload():
+    return
+
+
 def _reload(settings, path):
     """Check the settings file; a running instance keeps its settings."""
     try:
