Count the early part of a planned stop from its signal

A stopping entry admits everything for 3 s and cuts what a server has not ended at the end. The entry counts from when its event loop sees the signal, so that a stream sent 3.1 s after the signal could be admitted by its route's time limit and cut.

Now the last quarter of a second of that part is handled as the later part: what could not end in time is refused as not run.

test_only_what_ends_in_time_is_admitted_late held the first part to 2.9 s; it holds it to 2.7 s, and the rest to refusal, which is stricter for what can be lost.

--- a/balsamdale/planned_stop.py
+++ b/balsamdale/planned_stop.py
@@ -7,6 +7,8 @@
 # Time for which callers that cached this instance's address still come:
 # longer than they keep a response of the registry.
 STALE_REGISTRY_DRAIN_S = 3.0
+# Allowance for a stop that begins later than its signal was sent.
+MAX_SIGNAL_DELAY_S = 0.25
 # Part of the platform's grace period that is reserved for closing, and its
 # largest share of a short one.
 CLOSE_RESERVE_S = 1.0
@@ -69,4 +71,5 @@
             deadline_s: latest end of the request.
             now_s: present time.
         """
-        return now_s < self.stops_accepting_s or deadline_s <= self.ends_s
+        admits_all_until_s = self.stops_accepting_s - MAX_SIGNAL_DELAY_S
+        return now_s < admits_all_until_s or deadline_s <= self.ends_s
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -64,10 +64,15 @@
 
 
 def test_only_what_ends_in_time_is_admitted_late():
+    """Guards against streams that are sent 3 s after the signal and cut.
+
+    The stop itself may begin a quarter of a second after the signal.
+    """
     stop = planned_stop.PlannedStop(100.0, 8.0)
     assert (stop.stops_accepting_s, stop.ends_s) == (103.0, 107.0)
     assert stop.awaits_requests_until_s == 103.5
-    assert stop.admits(109.0, 102.9)
+    assert stop.admits(109.0, 102.7)
+    assert not stop.admits(107.1, 102.8)
     assert not stop.admits(107.1, 103.1)
     assert stop.admits(107.0, 106.0)
 
