Wait for the answer of a silent server unless the request can move

What callers saw: a sound server that was suspended for a second, with a full backlog, had its streams cut and its orders answered 502 after 0.6 to 0.9 s ("silent and unreachable"), although it went on and ran them to the end. Requests that may be repeated were sent from one suspended server to the next and then answered 502.

Cause: silence together with connections that are not accepted was taken as proof that a server is dead. A suspended process accepts nothing once its backlog is full, whoever asks, so the other entries agree. Its kernel keeps the open connections; the answer comes when it goes on.

Ruled out: changes of the configuration.

Change: an attempt is ended for silence only if its request may be sent again, has an attempt left, and another server is reached at that moment. What cannot move waits until its connection, its deadline or its caller ends it. A dead process closes its connections at once; the connections of a machine that is down end after 1.5 s of unacknowledged data or by the keepalive. The head of a response counts as a sign of life, so that an answer which has begun to be passed on is not cut by a check that began before.

Turns at a machine that is down end after 1.5 s, or when their caller leaves, instead of 0.8 s.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -78,7 +78,7 @@
     def _choose(self, state, servers, excluded, now_s):
         balancer = self._context.balancer
         is_retryable = (
-            _may_repeat(state)
+            state.may_repeat
             and state.delivered_attempts + 1 < state.route.attempt_limit
         )
         if not balancer.compares_finish(servers):
@@ -249,7 +249,7 @@
         try:
             with outcomes.recording(self._context, state, server) as attempt:
                 attempt.has_run = await self._send(
-                    state, server, body, timeout_s, deliver
+                    state, server, excluded, body, timeout_s, deliver
                 )
             return attempt.has_run
         except errors.BackendFailed as failure:
@@ -287,11 +287,28 @@
         else:
             self._health.suspect(server, state.call.request_id, reason)
 
-    async def _send(self, state, server, body, timeout_s, deliver):
+    def _find_other(self, state, excluded):
+        """Return the server that an attempt under way could move to."""
+        context, now_s = self._context, self._context.clock()
+        servers = context.directory.ready(state.service.name)
+        if (
+            not state.may_repeat
+            or state.delivered_attempts + 1 >= state.route.attempt_limit
+            or state.attempts >= ATTEMPT_LIMIT
+            or context.balancer.compares_finish(servers)
+            and not self.retry_budget.has_room(now_s)
+        ):
+            return None
+        choice = self.choose(state, excluded)
+        return choice.server if choice is not None else None
+
+    async def _send(self, state, server, excluded, body, timeout_s, deliver):
         """Send a request; return whether the server ran it to the end."""
         state.helper_id = self._context.paths.helper_id(server)
         async with (
-            self._health.stop_if_unreachable(state, server),
+            self._health.move_if_unreachable(
+                state, server, lambda: self._find_other(state, excluded)
+            ),
             self._context.paths.send(
                 _resuming_call(state), body, server, timeout_s
             ) as response,
@@ -302,6 +319,7 @@
 
     async def _receive_response(self, state, server, response, deliver):
         state.transfer = response.transfer
+        state.last_received_s = self._context.clock()
         self._record_metadata(server, response.metadata)
         if response.status != MISDIRECTED_STATUS:
             self._context.limits.record_answer(server, response.metadata)
@@ -356,7 +374,7 @@
             Refused: it cannot.
         """
         if (
-            _may_repeat(state)
+            state.may_repeat
             and state.delivered_attempts < state.route.attempt_limit
         ):
             decisions.record(
@@ -369,13 +387,6 @@
         raise errors.Refused('broken', 502, str(failure), 'unknown')
 
 
-def _may_repeat(state):
-    """Return whether a request may be sent again after it may have run."""
-    return state.route.can_resume or (
-        state.route.is_idempotent and not state.responder.has_begun
-    )
-
-
 def _resuming_call(state):
     """Return the call to send: one that goes on if events were delivered."""
     state.reader.discard_incomplete_event()
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -215,6 +215,13 @@
         """Whether it belongs to a program that has begun."""
         return bool(self.call.program_id) and not self.is_first_turn
 
+    @property
+    def may_repeat(self) -> bool:
+        """Whether it may be sent again after it may have run."""
+        return self.route.can_resume or (
+            self.route.is_idempotent and not self.responder.has_begun
+        )
+
     def record_stage(self, name: str, now_s: float) -> None:
         """Record that a stage was reached, with the time since arrival."""
         self.stage_times_s[name] = round(now_s - self.started_s, 4)
--- a/balsamdale/scheduling/retry_budget.py
+++ b/balsamdale/scheduling/retry_budget.py
@@ -45,15 +45,19 @@
 
     def allow_retry(self, now_s: float) -> bool:
         """Count a retry and return True if the budget allows it."""
-        bucket = self._bucket(now_s)
-        requests = sum(b[1] for b in self._buckets)
-        retries = sum(b[2] for b in self._buckets)
-        if retries >= max(self._min_retries, self._share * requests):
+        if not self.has_room(now_s):
             self.withheld += 1
             return False
-        bucket[2] += 1
+        self._bucket(now_s)[2] += 1
         return True
 
+    def has_room(self, now_s: float) -> bool:
+        """Return whether the budget allows a retry."""
+        self._bucket(now_s)
+        requests = sum(b[1] for b in self._buckets)
+        retries = sum(b[2] for b in self._buckets)
+        return retries < max(self._min_retries, self._share * requests)
+
     def _bucket(self, now_s):
         while self._buckets and self._buckets[0][0] <= now_s - WINDOW_S:
             self._buckets.popleft()
--- a/balsamdale/server_health.py
+++ b/balsamdale/server_health.py
@@ -36,23 +36,33 @@
         self._background = background.BackgroundTasks('health')
 
     @contextlib.asynccontextmanager
-    async def stop_if_unreachable(
-        self, state: request_state.RequestState, server: discovery.Server
+    async def move_if_unreachable(
+        self,
+        state: request_state.RequestState,
+        server: discovery.Server,
+        find_other: collections_abc.Callable[[], discovery.Server | None],
     ) -> collections_abc.AsyncIterator[None]:
-        """Stop an attempt whose server is silent and unreachable.
+        """Stop an attempt at a silent server that another can take over.
+
+        A server that is silent and accepts no connections may be down, or
+        suspended for a while. An attempt that cannot be repeated waits for
+        it: the connection of a server that has died ends by itself.
 
-        A silent server may only be slow; one that does not accept a new
-        connection either will not respond on the existing one. Only other
-        entries can tell whether it is the server that has failed.
+        Args:
+            state: the request.
+            server: the server of the attempt.
+            find_other: returns the server that the request would be sent to
+                next; None if it may not be sent again.
 
         Raises:
             BackendFailed: the attempt was stopped.
+            PathLost: the same, and another entry reaches the server.
         """
         state.last_received_s = self._context.clock()
         try:
             async with asyncio.timeout(None) as scope:
                 watch_task = asyncio.create_task(
-                    self._watch_for_silence(state, server, scope)
+                    self._watch_for_silence(state, server, find_other, scope)
                 )
                 try:
                     yield
@@ -65,14 +75,11 @@
                 raise errors.PathLost(
                     server.server_id, 'unknown', 'the path to it was lost'
                 ) from error
-            self.suspect(
-                server, state.call.request_id, 'silent and unreachable'
-            )
             raise errors.BackendFailed(
                 server.server_id, 'unknown', 'silent and unreachable', True
             ) from error
 
-    async def _watch_for_silence(self, state, server, scope):
+    async def _watch_for_silence(self, state, server, find_other, scope):
         wait_s = SILENCE_BEFORE_CHECK_S
         while True:
             await asyncio.sleep(wait_s)
@@ -89,8 +96,22 @@
                 state.helper_id or self._context.paths.is_refused(server)
             ):
                 continue
-            scope.reschedule(asyncio.get_running_loop().time())
-            return
+            if verdict != 'relayed':
+                self.suspect(
+                    server, state.call.request_id, 'silent and unreachable'
+                )
+            if not await self._is_reached(find_other()):
+                continue
+            # The answer may have begun meanwhile.
+            if find_other() and not self._is_heard(state):
+                scope.reschedule(asyncio.get_running_loop().time())
+                return
+
+    async def _is_reached(self, server):
+        """Return whether a request could be sent to a server, if any."""
+        if server is None:
+            return False
+        return await self._context.paths.check(server) in ('direct', 'relayed')
 
     def _is_heard(self, state):
         """Return whether a server has sent something a moment ago."""
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -10,6 +10,7 @@
 from standins import engine
 from standins import keyvalue
 from standins import plain
+from standins import routed
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
@@ -47,14 +48,35 @@
     asyncio.run(_serve(lambda: plain.PlainServer(name).app(), port))
 
 
-async def _serve(build_app, port):
+@app.command('routed')
+def run_routed(
+    port: Port,
+    name: str = 'server',
+    delay_s: float = 0.0,
+    events: int = 3,
+    event_gap_s: float = 0.0,
+    backlog: int = 128,
+) -> None:
+    """Run a backend server that takes routed requests."""
+
+    def build_app():
+        server = routed.RoutedServer(name)
+        server.switches.delay_s = delay_s
+        server.switches.events = events
+        server.switches.event_gap_s = event_gap_s
+        return server.app()
+
+    asyncio.run(_serve(build_app, port, backlog))
+
+
+async def _serve(build_app, port, backlog=128):
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     runner = web.AppRunner(build_app(), access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, '127.0.0.1', port).start()
+    await web.TCPSite(runner, '127.0.0.1', port, backlog=backlog).start()
     await stop_requested.wait()
     await runner.cleanup()
 
--- a/tests/routed_site.py
+++ b/tests/routed_site.py
@@ -141,6 +141,10 @@
         self.servers[name] = server
         self.register(name, service, address)
 
+    def reserve_port(self):
+        """Return an address that is free until the deployment ends."""
+        return self._ports.reserve()
+
     def register(self, name, service, address, **changes):
         """Write a server's registration."""
         registration = {
