Count no crash for a request that was taken from a silent server

What callers saw: nothing yet; three such reports have a request refused everywhere as one that crashes servers, for good.

Cause: every attempt that ended without an answer was checked for a crash, also one that the entry itself had ended because the server was silent. A suspended server with a full backlog is reached by nobody, which was taken as confirmation. The digest is that of path and body, so different callers' requests of one path without a body count together.

Change: ServerSilent tells the entry's own end of an attempt from a connection that was lost; only the latter is checked for a crash.

Evidence: test_request_that_may_repeat_moves_from_a_suspended_server found two reports on, of requests that another server answered; none now.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -267,7 +267,8 @@
                     server.server_id,
                     self._context.clock(),
                 )
-            self._health.start_crash_check(state, server)
+            if not isinstance(failure, errors.ServerSilent):
+                self._health.start_crash_check(state, server)
             return self._retry_or_refuse(state, failure)
 
     async def _handle_unreached(self, state, server, excluded, reason):
--- a/balsamdale/errors.py
+++ b/balsamdale/errors.py
@@ -241,6 +241,10 @@
         self.crashed = crashed
 
 
+class ServerSilent(BackendFailed):
+    """A server stopped answering; it may be down, or suspended."""
+
+
 class PathLost(BackendFailed):
     """This instance lost its path to a server that others reach."""
 
--- a/balsamdale/server_health.py
+++ b/balsamdale/server_health.py
@@ -55,7 +55,7 @@
                 next; None if it may not be sent again.
 
         Raises:
-            BackendFailed: the attempt was stopped.
+            ServerSilent: the attempt was stopped.
             PathLost: the same, and another entry reaches the server.
         """
         state.last_received_s = self._context.clock()
@@ -75,7 +75,7 @@
                 raise errors.PathLost(
                     server.server_id, 'unknown', 'the path to it was lost'
                 ) from error
-            raise errors.BackendFailed(
+            raise errors.ServerSilent(
                 server.server_id, 'unknown', 'silent and unreachable', True
             ) from error
 
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -117,7 +117,7 @@
         result = await health.attempt(5.0, lambda: OTHER)
         if other_verdict in ('direct', 'relayed'):
             is_relayed = verdict == 'relayed'
-            error = errors.PathLost if is_relayed else errors.BackendFailed
+            error = errors.PathLost if is_relayed else errors.ServerSilent
             assert result is error
         else:
             assert result is True
@@ -147,7 +147,7 @@
         async with asyncio.timeout(
             server_health.SILENCE_BEFORE_CHECK_S + CHECK_S + 0.01
         ):
-            assert await request_task is errors.BackendFailed
+            assert await request_task is errors.ServerSilent
 
     virtual.run(scenario())
 
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -165,8 +165,16 @@
     run(tmp_path, 'plain', scenario, delay_s=1.0)
 
 
+def count_reports(deployment):
+    """Return the crashes that the entries know of."""
+    return sum(
+        len(list(deployment.nodes[name].quarantine.reports()))
+        for name in ('entry-a', 'entry-b')
+    )
+
+
 def test_request_that_may_repeat_moves_from_a_suspended_server(tmp_path):
-    """It is answered before the server goes on."""
+    """It is answered before the server goes on, and counts as no crash."""
 
     async def scenario(site):
         deployment = site.deployment
@@ -181,6 +189,7 @@
         answers = await asyncio.gather(*requests)
         assert not suspended.done()
         assert [answer[:2] for answer in answers] == [(200, b'done in')] * 4
+        assert not count_reports(deployment)
         await suspended
 
     run(tmp_path, 'plain', scenario, 2, silence_s=4.0, delay_s=0.7)
@@ -201,6 +210,7 @@
         await site.suspend(*site.processes)
         answers = await asyncio.gather(*requests)
         assert [answer[:2] for answer in answers] == [(200, b'done in')] * 4
+        assert not count_reports(deployment)
 
     run(tmp_path, 'plain', scenario, 3, delay_s=0.7)
 
