Share the checks of a silent server between the requests that wait for it

What callers saw: with many requests in flight, new connections to a suspended server failed within a second, and it was judged unreachable.

Cause: each request checked its silent server by a new connection every 0.3 s. Each of these takes a place in the backlog of a suspended server until it goes on, beside the connections of requests, and counts towards the connections that it accepts.

Change: an accepted connection counts for 0.3 s for all requests of an entry.

Evidence: test_attempts_at_one_silent_server_share_their_connections and test_attempts_that_wait_for_a_server_do_not_check_it_again; without the change 20 attempts make a check each per 0.3 s.

--- a/balsamdale/server_health.py
+++ b/balsamdale/server_health.py
@@ -4,6 +4,7 @@
 from collections import abc as collections_abc
 import contextlib
 import itertools
+import math
 
 from balsamdale import background
 from balsamdale import decisions
@@ -34,6 +35,10 @@
     def __init__(self, context: request_state.Context):
         self._context = context
         self._background = background.BackgroundTasks('health')
+        # Times at which silent servers accepted a connection, by address.
+        self._accepted_s: dict[str, float] = {}
+        # Addresses that are checked until they accept connections again.
+        self._unreachable: set[str] = set()
 
     @contextlib.asynccontextmanager
     async def move_if_unreachable(
@@ -88,7 +93,11 @@
             if wait_s > 0:
                 continue
             wait_s = SILENCE_BEFORE_CHECK_S
-            verdict = await self._context.paths.check(server)
+            if self._has_accepted(server):
+                continue
+            if server.address in self._unreachable and not find_other():
+                continue
+            verdict = await self._check(server)
             if verdict == 'direct' or self._is_heard(state):
                 continue
             # Open connections may live on while new ones are refused.
@@ -107,11 +116,34 @@
                 scope.reschedule(asyncio.get_running_loop().time())
                 return
 
+    async def _check(self, server):
+        """Find the path to a server, and remember if it is direct."""
+        verdict = await self._context.paths.check(server)
+        if verdict == 'direct':
+            now_s = self._context.clock()
+            self._accepted_s = {
+                address: accepted_s
+                for address, accepted_s in self._accepted_s.items()
+                if now_s - accepted_s < SILENCE_BEFORE_CHECK_S
+            }
+            self._accepted_s[server.address] = now_s
+        return verdict
+
+    def _has_accepted(self, server):
+        """Return whether a server accepted a connection a moment ago.
+
+        Each connection takes a place in the backlog of a suspended server,
+        so the requests that wait for it share their checks.
+        """
+        accepted_s = self._accepted_s.get(server.address, -math.inf)
+        return self._context.clock() - accepted_s < SILENCE_BEFORE_CHECK_S
+
     async def _is_reached(self, server):
         """Return whether a request could be sent to a server, if any."""
-        if server is None:
-            return False
-        return await self._context.paths.check(server) in ('direct', 'relayed')
+        return server is not None and (
+            self._has_accepted(server)
+            or await self._check(server) in ('direct', 'relayed')
+        )
 
     def _is_heard(self, state):
         """Return whether a server has sent something a moment ago."""
@@ -167,20 +199,27 @@
                 server=server.server_id,
                 reason=reason,
             )
+            self._unreachable.add(server.address)
             self._background.spawn(self._check_recovery(server))
 
     async def _check_recovery(self, server):
         """Check a server until it recovers or is no longer registered."""
+        try:
+            await self._wait_for_recovery(server)
+        finally:
+            self._unreachable.discard(server.address)
+        self._context.balancer.mark_healthy(server.server_id)
+        decisions.record('server_recovered', server=server.server_id)
+
+    async def _wait_for_recovery(self, server):
         context = self._context
         for check_number in itertools.count():
             if check_number % CHECKS_PER_QUESTION == 0:
                 await context.paths.check(server, has_failed=True)
             if context.paths.helper_id(server):
-                break
+                return
             await asyncio.sleep(RECOVERY_CHECK_INTERVAL_S)
             if server not in context.directory.ready(server.service):
-                break
+                return
             if await context.http_client.is_reachable(server.address):
-                break
-        context.balancer.mark_healthy(server.server_id)
-        decisions.record('server_recovered', server=server.server_id)
+                return
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -125,6 +125,38 @@
     virtual.run(scenario())
 
 
+def test_attempts_at_one_silent_server_share_their_connections():
+    """Each connection takes a place in the backlog of a suspended server."""
+
+    async def scenario():
+        health = Health(Paths())
+        async with asyncio.TaskGroup() as group:
+            for _ in range(20):
+                group.create_task(health.attempt(3.0, lambda: OTHER))
+                await asyncio.sleep(0.017)
+        times_s = [at_s for _, at_s in health.context.paths.checked]
+        gaps_s = [b - a for a, b in zip(times_s, times_s[1:], strict=False)]
+        assert times_s
+        assert min(gaps_s) > server_health.SILENCE_BEFORE_CHECK_S - 0.001
+
+    virtual.run(scenario())
+
+
+def test_attempts_that_wait_for_a_server_do_not_check_it_again():
+    """Each check of an unreachable server asks other entries."""
+
+    async def scenario():
+        health = Health(Paths(silent='unreachable'))
+        async with asyncio.TaskGroup() as group:
+            for _ in range(20):
+                group.create_task(health.attempt(3.0))
+                await asyncio.sleep(0.017)
+        # Those of the recovery are two seconds apart.
+        assert len(health.context.paths.checked) <= 4
+
+    virtual.run(scenario())
+
+
 def test_attempt_whose_answer_begins_meanwhile_does_not_move():
     """The caller has a part of the answer, so no other may follow."""
 
