End attempts early again where only their own entry has lost the server

The server's silence is no proof there, but the entry does know that it is its own path that has failed: others reach the server.

Change: such an attempt is ended if a further connection of this entry is not answered after another entry has reached the server. The further one is needed as a suspended server that has just gone on is reached by whoever asks next; before, its attempts could be ended at that moment.

--- a/balsamdale/server_health.py
+++ b/balsamdale/server_health.py
@@ -51,7 +51,9 @@
 
         A server that is silent and accepts no connections may be down, or
         suspended for a while. An attempt that cannot be repeated waits for
-        it: the connection of a server that has died ends by itself.
+        it: the connection of a server that has died ends by itself. Only
+        where other entries reach the server is the connection known to be
+        lost.
 
         Args:
             state: the request.
@@ -109,10 +111,12 @@
                 self.suspect(
                     server, state.call.request_id, 'silent and unreachable'
                 )
-            if not await self._is_reached(find_other()):
-                continue
-            # The answer may have begun meanwhile.
-            if find_other() and not self._is_heard(state):
+            if await self._is_reached(find_other()):
+                # The answer may have begun meanwhile.
+                may_end = bool(find_other())
+            else:
+                may_end = verdict == 'relayed' and await self._is_cut(server)
+            if may_end and not self._is_heard(state):
                 scope.reschedule(asyncio.get_running_loop().time())
                 return
 
@@ -138,6 +142,15 @@
         accepted_s = self._accepted_s.get(server.address, -math.inf)
         return self._context.clock() - accepted_s < SILENCE_BEFORE_CHECK_S
 
+    async def _is_cut(self, server):
+        """Return whether this entry alone has lost its path to a server.
+
+        A suspended server that has just gone on is reached by other entries
+        before this one has tried again.
+        """
+        connection = await self._context.http_client.probe(server.address)
+        return connection == 'silent'
+
     async def _is_reached(self, server):
         """Return whether a request could be sent to a server, if any."""
         return server is not None and (
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -64,12 +64,18 @@
             [True], itertools.repeat(False)
         )
         self.context.http_client.is_reachable = self._is_reachable
+        self.context.http_client.probe = self._probe
+        self.connection = 'open'
         self.health = server_health.ServerHealth(self.context)
 
     async def _is_reachable(self, _address):
         await asyncio.sleep(CHECK_S)
         return False
 
+    async def _probe(self, _address):
+        await asyncio.sleep(CHECK_S)
+        return self.connection
+
     async def attempt(self, took_s, find_other=lambda: None):
         """Wait for an answer; return True, or the error that stopped it."""
         state = types.SimpleNamespace(
@@ -125,6 +131,20 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize('connection', ['open', 'refused', 'silent'])
+def test_attempt_ends_once_only_its_entry_has_lost_the_server(connection):
+    """Others also reach a suspended server that has just gone on."""
+
+    async def scenario():
+        health = Health(Paths(silent='relayed'))
+        health.connection = connection
+        is_cut = connection == 'silent'
+        result = await health.attempt(5.0)
+        assert result is (errors.PathLost if is_cut else True)
+
+    virtual.run(scenario())
+
+
 def test_attempts_at_one_silent_server_share_their_connections():
     """Each connection takes a place in the backlog of a suspended server."""
 
