--- a/balsamdale/server_health.py
+++ b/balsamdale/server_health.py
@@ -4,6 +4,7 @@
 from collections import abc as collections_abc
 import contextlib
 import itertools
+import math
 
 from balsamdale import background
 from balsamdale import decisions
@@ -34,25 +35,41 @@
     def __init__(self, context: request_state.Context):
         self._context = context
         self._background = background.BackgroundTasks('health')
+        # Times at which silent servers accepted a connection, by address.
+        self._accepted_s: dict[str, float] = {}
+        # Addresses that are checked until they accept connections again.
+        self._unreachable: set[str] = set()
 
     @contextlib.asynccontextmanager
-    async def stop_if_unreachable(
-        self, state: request_state.RequestState, server: discovery.Server
+    async def move_if_unreachable(
+        self,
+        state: request_state.RequestState,
+        server: discovery.Server,
+        find_other: collections_abc.Callable[[], discovery.Server | None],
     ) -> collections_abc.AsyncIterator[None]:
-        """Stop an attempt whose server is silent and unreachable.
+        """Stop an attempt at a silent server that another can take over.
+
+        A server that is silent and accepts no connections may be down, or
+        suspended for a while. An attempt that cannot be repeated waits for
+        it: the connection of a server that has died ends by itself. Only
+        where other entries reach the server is the connection known to be
+        lost.
 
-        A silent server may only be slow; one that does not accept a new
-        connection either will not respond on the existing one. Only other
-        entries can tell whether it is the server that has failed.
+        Args:
+            state: the request.
+            server: the server of the attempt.
+            find_other: returns the server that the request would be sent to
+                next; None if it may not be sent again.
 
         Raises:
-            BackendFailed: the attempt was stopped.
+            ServerSilent: the attempt was stopped.
+            PathLost: the same, and another entry reaches the server.
         """
         state.last_received_s = self._context.clock()
         try:
             async with asyncio.timeout(None) as scope:
                 watch_task = asyncio.create_task(
-                    self._watch_for_silence(state, server, scope)
+                    self._watch_for_silence(state, server, find_other, scope)
                 )
                 try:
                     yield
@@ -65,14 +82,11 @@
                 raise errors.PathLost(
                     server.server_id, 'unknown', 'the path to it was lost'
                 ) from error
-            self.suspect(
-                server, state.call.request_id, 'silent and unreachable'
-            )
-            raise errors.BackendFailed(
+            raise errors.ServerSilent(
                 server.server_id, 'unknown', 'silent and unreachable', True
             ) from error
 
-    async def _watch_for_silence(self, state, server, scope):
+    async def _watch_for_silence(self, state, server, find_other, scope):
         wait_s = SILENCE_BEFORE_CHECK_S
         while True:
             await asyncio.sleep(wait_s)
@@ -81,7 +95,11 @@
             if wait_s > 0:
                 continue
             wait_s = SILENCE_BEFORE_CHECK_S
-            verdict = await self._context.paths.check(server)
+            if self._has_accepted(server):
+                continue
+            if server.address in self._unreachable and not find_other():
+                continue
+            verdict = await self._check(server)
             if verdict == 'direct' or self._is_heard(state):
                 continue
             # Open connections may live on while new ones are refused.
@@ -89,8 +107,56 @@
                 state.helper_id or self._context.paths.is_refused(server)
             ):
                 continue
-            scope.reschedule(asyncio.get_running_loop().time())
-            return
+            if verdict != 'relayed':
+                self.suspect(
+                    server, state.call.request_id, 'silent and unreachable'
+                )
+            if await self._is_reached(find_other()):
+                # The answer may have begun meanwhile.
+                may_end = bool(find_other())
+            else:
+                may_end = verdict == 'relayed' and await self._is_cut(server)
+            if may_end and not self._is_heard(state):
+                scope.reschedule(asyncio.get_running_loop().time())
+                return
+
+    async def _check(self, server):
+        """Find the path to a server, and remember if it is direct."""
+        verdict = await self._context.paths.check(server)
+        if verdict == 'direct':
+            now_s = self._context.clock()
+            self._accepted_s = {
+                address: accepted_s
+                for address, accepted_s in self._accepted_s.items()
+                if now_s - accepted_s < SILENCE_BEFORE_CHECK_S
+            }
+            self._accepted_s[server.address] = now_s
+        return verdict
+
+    def _has_accepted(self, server):
+        """Return whether a server accepted a connection a moment ago.
+
+        Each connection takes a place in the backlog of a suspended server,
+        so the requests that wait for it share their checks.
+        """
+        accepted_s = self._accepted_s.get(server.address, -math.inf)
+        return self._context.clock() - accepted_s < SILENCE_BEFORE_CHECK_S
+
+    async def _is_cut(self, server):
+        """Return whether this entry alone has lost its path to a server.
+
+        A suspended server that has just gone on is reached by other entries
+        before this one has tried again.
+        """
+        connection = await self._context.http_client.probe(server.address)
+        return connection == 'silent'
+
+    async def _is_reached(self, server):
+        """Return whether a request could be sent to a server, if any."""
+        return server is not None and (
+            self._has_accepted(server)
+            or await self._check(server) in ('direct', 'relayed')
+        )
 
     def _is_heard(self, state):
         """Return whether a server has sent something a moment ago."""
@@ -146,20 +212,27 @@
                 server=server.server_id,
                 reason=reason,
             )
+            self._unreachable.add(server.address)
             self._background.spawn(self._check_recovery(server))
 
     async def _check_recovery(self, server):
         """Check a server until it recovers or is no longer registered."""
+        try:
+            await self._wait_for_recovery(server)
+        finally:
+            self._unreachable.discard(server.address)
+        self._context.balancer.mark_healthy(server.server_id)
+        decisions.record('server_recovered', server=server.server_id)
+
+    async def _wait_for_recovery(self, server):
         context = self._context
         for check_number in itertools.count():
             if check_number % CHECKS_PER_QUESTION == 0:
                 await context.paths.check(server, has_failed=True)
             if context.paths.helper_id(server):
-                break
+                return
             await asyncio.sleep(RECOVERY_CHECK_INTERVAL_S)
             if server not in context.directory.ready(server.service):
-                break
+                return
             if await context.http_client.is_reachable(server.address):
-                break
-        context.balancer.mark_healthy(server.server_id)
-        decisions.record('server_recovered', server=server.server_id)
+                return
