Soak planned stops on a fleet of real processes

The fleet of the upgrade run is shared; the stand-ins get switches for a silent store, for answers of the store that are lost, and for silent servers.

--- /dev/null
+++ b/harness/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Planned stops of a fleet of real processes, in seeded series."""
--- a/harness/upgrade.py
+++ b/harness/upgrade.py
@@ -157,11 +157,23 @@
     Args:
         folder: folder for settings, logs and data folders.
         knows_limits: whether both builds keep the limits of servers.
+        entries: ids of the instances that serve callers.
+        grace_s: time from SIGTERM until an instance is killed.
     """
 
-    def __init__(self, folder: pathlib.Path, knows_limits: bool):
+    server_type: type[TimedServer] = TimedServer
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        knows_limits: bool,
+        entries: tuple[str, ...] = ENTRIES,
+        grace_s: float = GRACE_S,
+    ):
         self._folder = folder
         self.knows_limits = knows_limits
+        self.entries = entries
+        self._grace_s = grace_s
         self._stack = contextlib.AsyncExitStack()
         self._ports = ports.PortReservations()
         self._stack.callback(self._ports.close)
@@ -171,12 +183,12 @@
 
     async def __aenter__(self):
         store_address = await self._serve(self.store.app())
-        self.store.write('op/config', json.dumps(_configuration()).encode())
+        self.store.write('op/config', json.dumps(configuration()).encode())
         for service, count in (('engines', 3), ('plain', 2)):
             for number in range(count):
                 await self._add_server(f'{service}-{number}', service)
         self.servers['engines-0'].switches.limit = str(SERVER_LIMIT_PER_S)
-        for name in (*ARCHIVES, *ENTRIES):
+        for name in (*ARCHIVES, *self.entries):
             self._add_instance(name, store_address)
         return self
 
@@ -200,8 +212,19 @@
             build_folder: folder of the build.
             wrapper: a command that runs the instance's command.
         """
+        instance = self.launch(name, build_folder, wrapper)
+        if instance.ready_address:
+            await self._wait_until_ready(instance)
+
+    def launch(
+        self,
+        name: str,
+        build_folder: pathlib.Path,
+        wrapper: tuple[str, ...] = (),
+    ) -> Instance:
+        """Start an instance on a build without waiting for it."""
         instance = self.instances[name]
-        with open(self._folder / f'{name}.log', 'ab') as log:
+        with self._open_log(name) as log:
             instance.process = subprocess.Popen(
                 (*wrapper, sys.executable, '-m', 'balsamdale.platform'),
                 cwd=build_folder,
@@ -213,8 +236,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        if instance.ready_address:
-            await self._wait_until_ready(instance)
+        return instance
 
     async def stop(self, name: str) -> int:
         """Stop an instance in order; return its exit status."""
@@ -225,6 +247,10 @@
                 await asyncio.sleep(0.02)
         return process.returncode
 
+    def _open_log(self, name):
+        """Return the file that an instance writes its log to."""
+        return open(self._folder / f'{name}.log', 'ab')
+
     def logged_errors(self) -> list[str]:
         """Return the lines of tracebacks and errors in the logs."""
         return [
@@ -250,7 +276,7 @@
                 await asyncio.sleep(0.05)
 
     async def _add_server(self, name, service):
-        server = TimedServer(name)
+        server = self.server_type(name)
         server.switches.event_gap_s = 0.02
         self.servers[name] = server
         registration = {
@@ -272,10 +298,10 @@
             'failure_domain': name[-1],
             'link_address': self._ports.reserve(),
             'key_value_address': store_address,
-            'grace_s': GRACE_S,
+            'grace_s': self._grace_s,
         }
         instance = Instance(name, self._folder / f'{name}.toml')
-        if name in ENTRIES:
+        if name in self.entries:
             for key in ('entry', 'ready', 'registry'):
                 fields[f'{key}_address'] = self._ports.reserve()
             instance.entry_address = fields['entry_address']
@@ -301,7 +327,8 @@
         return address
 
 
-def _configuration():
+def configuration() -> dict:
+    """Return the operator's configuration as the platform writes it."""
     turns = platform_store.TURNS_ROUTE
     plain = {**turns, 'service': 'plain', 'retain_context': False}
     return {
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -31,6 +31,7 @@
 
 PAGE_ITEMS = 500
 WATCH_POLL_INTERVAL_S = 0.02
+SILENCE_CHECK_INTERVAL_S = 0.05
 
 
 @dataclasses.dataclass
@@ -39,7 +40,8 @@
 
     `refuse_status` is the status of the response to every call; `reset`
     aborts every connection. `lose_answers` is how many of the next writes get
-    no response; `late_s` delays these writes.
+    no response; `late_s` delays these writes. While `is_silent`, no call gets
+    a response; while `loses_answers`, every call is carried out without one.
     """
 
     refuse_status: int = 0
@@ -47,6 +49,8 @@
     delay_s: float = 0.0
     lose_answers: int = 0
     late_s: float = 0.0
+    is_silent: bool = False
+    loses_answers: bool = False
 
 
 class PlatformStoreServer:
@@ -125,6 +129,8 @@
         async def respond(request):
             self.calls += 1
             switches = self.switches
+            while switches.is_silent:
+                await asyncio.sleep(SILENCE_CHECK_INTERVAL_S)
             if switches.reset:
                 request.transport.abort()
                 return web.Response()
@@ -135,7 +141,10 @@
             if handler == self._txn and switches.lose_answers:
                 switches.lose_answers -= 1
                 return await self._lose_response(request)
-            return await handler(request)
+            response = await handler(request)
+            if switches.loses_answers:
+                request.transport.abort()
+            return response
 
         return respond
 
--- a/standins/routed.py
+++ b/standins/routed.py
@@ -35,6 +35,7 @@
     without it; `is_leaving` adds the header of a leaving server.
     `limit` is the header of a server that names a limit of requests a second.
     `fail` is how many of the next requests get a response of status 500.
+    Until `silent_until_s`, a time of the event loop, nothing is read or sent.
     """
 
     delay_s: float = 0.0
@@ -54,6 +55,7 @@
     limit: str = ''
     fail: int = 0
     break_gate: asyncio.Event | None = None
+    silent_until_s: float = 0.0
 
 
 class _UnframedResponse(web.StreamResponse):
@@ -93,6 +95,7 @@
         return app
 
     async def _handle_request(self, request):
+        await self._wait_while_silent()
         request_id = request.headers['X-Request-Id']
         headers = {
             'X-Request-Id': request_id,
@@ -127,6 +130,7 @@
 
     async def _send_response(self, request, headers, body):
         await asyncio.sleep(self.switches.delay_s)
+        await self._wait_while_silent()
         if self.switches.drop:
             self.switches.drop -= 1
             self._break_connection(request)
@@ -147,6 +151,7 @@
             data = f'id: {event_number}\ndata: e{event_number}-{len(body)}\n\n'
             await response.write(data.encode())
             await asyncio.sleep(self.switches.event_gap_s)
+            await self._wait_while_silent()
             if self.switches.endless:
                 return await self._send_endless(response)
             if self._breaks_after(event_number):
@@ -184,6 +189,11 @@
         await response.write_eof()
         return response
 
+    async def _wait_while_silent(self):
+        loop = asyncio.get_running_loop()
+        while (left_s := self.switches.silent_until_s - loop.time()) > 0:
+            await asyncio.sleep(left_s)
+
     def _break_connection(self, request):
         if self.switches.resets:
             sockets.reset(request.transport)
