--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import collections
 import dataclasses
 
 from aiohttp import web
@@ -42,6 +43,7 @@
     aborts every connection. `lose_answers` is how many of the next writes get
     no response; `late_s` delays these writes. While `is_silent`, no call gets
     a response; while `loses_answers`, every call is carried out without one.
+    Beyond `calls_per_s`, calls get status 429; 0 for no limit.
     """
 
     refuse_status: int = 0
@@ -51,6 +53,7 @@
     late_s: float = 0.0
     is_silent: bool = False
     loses_answers: bool = False
+    calls_per_s: int = 0
 
 
 class PlatformStoreServer:
@@ -60,6 +63,8 @@
         self.switches = Switches()
         self.revision = 1
         self.calls = 0
+        self.limited_calls = 0
+        self._call_times_s: collections.deque[float] = collections.deque()
         self._items: dict[str, dict] = {}
         self._events: list[dict] = []
         self._compacted_revision = 0
@@ -134,6 +139,8 @@
             if switches.reset:
                 request.transport.abort()
                 return web.Response()
+            if self._is_limited():
+                return web.Response(status=429)
             if switches.refuse_status:
                 return web.Response(status=switches.refuse_status)
             if switches.delay_s:
@@ -148,6 +155,20 @@
 
         return respond
 
+    def _is_limited(self):
+        """Return whether a call now exceeds the calls of one second."""
+        if not self.switches.calls_per_s:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        times_s = self._call_times_s
+        while times_s and times_s[0] <= now_s - 1.0:
+            times_s.popleft()
+        if len(times_s) >= self.switches.calls_per_s:
+            self.limited_calls += 1
+            return True
+        times_s.append(now_s)
+        return False
+
     async def _lose_response(self, request):
         """Apply a write after `late_s` and send no response."""
         body = await request.json()
