--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -9,7 +9,6 @@
 from collections import abc as collections_abc
 import dataclasses
 import json
-import logging
 import pathlib
 import shutil
 import signal
@@ -108,7 +107,9 @@
             )
             for loss in losses
         }
-        return Played(attempts, fleet.stops, faults, losses, lines, calls)
+        return Played(
+            attempts, fleet.timeline.stops, faults, losses, lines, calls
+        )
 
 
 def _find_lines(fleet, request_id):
@@ -202,7 +203,6 @@
     """Play seeds one after the other; keep the logs of those that fail."""
     has_failed = False
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
     with tempfile.TemporaryDirectory() as name:
         build_folder = upgrade.ROOT
         if older:
