--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -56,7 +56,6 @@
     seed: int,
     build_folder: pathlib.Path,
     folder: pathlib.Path,
-    store_calls_per_s: int = 0,
 ) -> Played:
     """Play a series; return what was seen.
 
@@ -65,24 +64,19 @@
         seed: seed of the callers' choices.
         build_folder: folder of the build.
         folder: folder for settings, logs and data folders.
-        store_calls_per_s: calls that the store allows; 0 for no limit.
     """
     attempts: list[callers.Attempt] = []
-    async with site.SoakFleet(
-        folder, build_folder, planned.entries, store_calls_per_s
-    ) as fleet:
+    async with site.SoakFleet(folder, build_folder, planned) as fleet:
         fleet.open_ids = lambda name: [
             a.request_id for a in attempts if a.entry == name and not a.ended_s
         ]
-        for server in fleet.servers.values():
-            server.added_work_s = planned.load.added_work_s
         await asyncio.sleep(SETTLE_S)
         addresses = {
             name: fleet.instances[name].entry_address
             for name in planned.entries
         }
         stop = asyncio.Event()
-        calls = [
+        tasks = [
             asyncio.create_task(
                 callers.Caller(n, addresses, attempts, planned.load, seed).run(
                     stop
@@ -98,9 +92,8 @@
         await asyncio.gather(*plays)
         await asyncio.sleep(began_s + planned.length_s - time.monotonic())
         stop.set()
-        await asyncio.gather(*calls)
+        await asyncio.gather(*tasks)
         faults, losses = verdict.judge(attempts, fleet)
-        calls = fleet.store.calls, fleet.store.limited_calls
         lines = {
             loss.attempt.request_id: _find_lines(
                 fleet, loss.attempt.request_id
@@ -108,7 +101,12 @@
             for loss in losses
         }
         return Played(
-            attempts, fleet.timeline.stops, faults, losses, lines, calls
+            attempts,
+            fleet.timeline.stops,
+            faults,
+            losses,
+            lines,
+            (fleet.store.calls, fleet.store.limited_calls),
         )
 
 
@@ -191,10 +189,6 @@
     is_calm: typing.Annotated[
         bool, typer.Option('--calm', help='stops of entries only')
     ] = False,
-    store_calls_per_s: typing.Annotated[
-        int,
-        typer.Option('--store-calls', help='limit of the store a second'),
-    ] = 0,
     changes: typing.Annotated[
         list[str],
         typer.Option('--set', help='field of the load and its value, a=1'),
@@ -211,15 +205,7 @@
             folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
             planned = series.make_series(seed, is_calm)
             planned = _change_load(planned, changes)
-            played = asyncio.run(
-                play(
-                    planned,
-                    seed,
-                    build_folder,
-                    folder,
-                    store_calls_per_s,
-                )
-            )
+            played = asyncio.run(play(planned, seed, build_folder, folder))
             for line in report(seed, planned, played):
                 print(line)
             summary = summarize(seed, played)
--- a/harness/soak/series.py
+++ b/harness/soak/series.py
@@ -61,6 +61,7 @@
         slow_share: share of bodies that are sent over up to `slow_s`.
         slow_s: longest time from the first to the last byte of a request.
         added_work_s: most work of a request at a server beyond the usual.
+        store_calls_per_s: calls that the store allows; 0 for no limit.
     """
 
     connections: int
@@ -71,6 +72,7 @@
     chunked_share: float = 0.5
     slow_share: float = 0.2
     slow_s: float = 3.0
+    store_calls_per_s: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/harness/soak/site.py
+++ b/harness/soak/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
 import fcntl
 import json
@@ -21,6 +22,7 @@
 # Size of the pipe that an instance logs to.
 LOG_PIPE_BYTES = 4096
 SERVER_SLOTS = 64
+SERVER_CONNECTIONS = 300
 STORE_DELAY_S = 0.8
 WORK_S = 0.08
 EVENT_GAPS_S = (0.03, 0.05, 0.1)
@@ -112,8 +114,7 @@
     Args:
         folder: folder for settings, logs and data folders.
         build_folder: folder of the build.
-        entries: ids of the instances that serve callers.
-        store_calls_per_s: calls that the store allows; 0 for no limit.
+        planned: the series that is to be played.
 
     Attributes:
         timeline: what was done to it.
@@ -126,16 +127,15 @@
         self,
         folder: pathlib.Path,
         build_folder: pathlib.Path,
-        entries: tuple[str, ...],
-        store_calls_per_s: int = 0,
+        planned: series.Series,
     ):
-        super().__init__(folder, True, entries, series.GRACE_S)
+        super().__init__(folder, True, planned.entries, series.GRACE_S)
         self._build_folder = build_folder
-        self._store_calls_per_s = store_calls_per_s
+        self._load = planned.load
         self._readers: dict[str, int] = {}
         self._log_starts: dict[str, int] = {}
         self._stopping: dict[str, Stop] = {}
-        self._configuration = upgrade.configuration()
+        self._configuration = copy.deepcopy(upgrade.configuration())
         self.timeline = Timeline()
         self.open_ids = lambda name: ()
 
@@ -143,14 +143,14 @@
         # Servers write on to connections that an entry has closed.
         logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
         await super().__aenter__()
-        self._configuration['services'].append(
-            {'name': 'spare', 'max_conns': 100}
-        )
-        for service in self._configuration['services']:
-            service['max_conns'] = 300
+        services = self._configuration['services']
+        services.append({'name': 'spare'})
+        for service in services:
+            service['max_conns'] = SERVER_CONNECTIONS
         for number in range(2):
             await self._add_server(f'spare-{number}', 'spare')
         for name, server in self.servers.items():
+            server.added_work_s = self._load.added_work_s
             server.switches.limit = ''
             server.switches.events = EVENTS
             server.switches.event_gap_s = EVENT_GAPS_S[int(name[-1])]
@@ -160,7 +160,7 @@
         await asyncio.gather(
             *(self.start(name, self._build_folder) for name in self.instances)
         )
-        self.store.switches.calls_per_s = self._store_calls_per_s
+        self.store.switches.calls_per_s = self._load.store_calls_per_s
         return self
 
     def configure(self, change: str) -> None:
@@ -258,7 +258,7 @@
         await asyncio.sleep(event.for_s)
         self.timeline.disruptions.append((began_s, time.time()))
         self.store.switches = type(switches)(
-            calls_per_s=self._store_calls_per_s
+            calls_per_s=self._load.store_calls_per_s
         )
 
     async def _play_silence(self, event):
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -133,9 +133,9 @@
     def _apply_switches(self, handler):
         async def respond(request):
             self.calls += 1
-            switches = self.switches
-            while switches.is_silent:
+            while self.switches.is_silent:
                 await asyncio.sleep(SILENCE_CHECK_INTERVAL_S)
+            switches = self.switches
             if switches.reset:
                 request.transport.abort()
                 return web.Response()
