Read the exit status of a process once in its tests

The first run of the whole suite showed status 255 in test_signals_in_series_do_not_cut_a_stop_short, which passes alone. asyncio reads the status of a child in a thread; sending it a signal reads it as well, and the later of the two reports 255. The tests of real processes use subprocess directly and poll, like the other harnesses.

--- a/tests/real_node.py
+++ b/tests/real_node.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import signal
+import subprocess
 import sys
 
 import aiohttp
@@ -28,6 +29,7 @@
 """
 # Generous: starting processes takes long on a busy machine.
 TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.02
 CONFIGURATION = {
     'version': 1,
     'routes': [
@@ -109,22 +111,21 @@
         self._prelude = prelude
         self._process = None
 
-    async def launch(self):
+    def launch(self):
         """Start the process, without waiting until it serves."""
         command = ('-m', 'balsamdale.platform')
         if self._prelude:
             # Changes the process in a way that no outside system can.
             command = ('-c', f'{self._prelude}\n{RUN_MODULE}')
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *command,
+        self._process = subprocess.Popen(
+            (sys.executable, *command),
             cwd=self._build,
             env={
                 **os.environ,
                 'PYTHONPATH': str(self._build),
                 'BALSAMDALE_SETTINGS': str(self._path),
             },
-            stdin=asyncio.subprocess.DEVNULL,
+            stdin=subprocess.DEVNULL,
             stdout=self.output.descriptor,
             stderr=self.error_output.descriptor,
         )
@@ -132,14 +133,14 @@
 
     @property
     def is_running(self):
-        return self._process.returncode is None
+        return self._process.poll() is None
 
     async def wait_for_event(self, event):
         """Wait until the log has an event."""
         async with asyncio.timeout(TIMEOUT_S):
             while event not in self.output.events():
                 assert self.is_running, self.error_output.read()
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(POLL_INTERVAL_S)
 
     def signal(self, number=signal.SIGTERM):
         self._process.send_signal(number)
@@ -148,13 +149,14 @@
         """Return the exit status; None if it runs on after a time."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                return await self._process.wait()
-        return None
+                while self.is_running:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+        return self._process.poll()
 
-    async def kill(self):
+    def kill(self):
         if self._process is not None and self.is_running:
             self._process.kill()
-            await self._process.wait()
+            self._process.wait()
 
 
 class RealSite:
@@ -199,7 +201,7 @@
 
     async def __aexit__(self, *_):
         for instance in self.nodes:
-            await instance.kill()
+            instance.kill()
         await self._stack.aclose()
 
     def add_node(self, name, role, prelude='', build=ROOT, **changes):
@@ -241,7 +243,7 @@
 
     async def start(self, name='entry-a', role='entry', **options):
         """Return a new instance once it has started."""
-        instance = await self.add_node(name, role, **options).launch()
+        instance = self.add_node(name, role, **options).launch()
         await instance.wait_for_event('started')
         return instance
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -122,7 +122,7 @@
     async def scenario(site):
         entry = site.add_node('entry-a', 'entry')
         entry.error_output.fill()
-        await entry.launch()
+        entry.launch()
         await entry.wait_for_event('started')
         await site.wait_until_served(entry)
         host, _, port = entry.settings['entry_address'].rpartition(':')
