--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -1,7 +1,9 @@
 """Tests of the stop of an instance: it ends in time, whatever happens."""
 
 import asyncio
+import contextlib
 import inspect
+import re
 import signal
 
 import pytest
@@ -254,3 +256,76 @@
         await archive.close()
 
     routed_site.run(tmp_path, scenario)
+
+
+class KeptConnection:
+    """A connection that has had an answer and is used once more, later."""
+
+    def __init__(self, entry, number):
+        self._address = entry.settings['entry_address']
+        self._number = number
+        self.unanswered = []
+
+    async def run(self, stopping):
+        """Send an order, and another one some time after the signal."""
+        host, _, port = self._address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        assert await self._order(reader, writer, f'first-{self._number}')
+        await stopping.wait()
+        await asyncio.sleep(self._number * ORDER_INTERVAL_S)
+        request_id = f'late-{self._number}'
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            if await self._order(reader, writer, request_id):
+                request_id = ''
+        if request_id:
+            self.unanswered.append(request_id)
+        writer.close()
+
+    async def _order(self, reader, writer, request_id):
+        """Send an order in chunks; return whether its answer is whole."""
+        writer.write(
+            b'POST /alerts/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n'
+            b'Host: %b\r\nX-Request-Id: %b\r\nX-Deadline-Ms: 2000\r\n\r\n'
+            b'1\r\nb\r\n0\r\n\r\n'
+            % (real_node.HOST.encode(), request_id.encode())
+        )
+        head = (await reader.readuntil(b'\r\n\r\n')).lower()
+        length = re.search(rb'content-length: (\d+)', head)
+        await reader.readexactly(int(length[1]))
+        return True
+
+
+GRACE_S = 8.0
+ORDER_INTERVAL_S = 0.05
+# Time that the server takes for an order: some are always under way.
+ORDER_S = 0.3
+
+
+def test_orders_do_not_end_with_a_process_that_waits_for_its_store(tmp_path):
+    """Guards against orders that ran, without an answer or a line of a log.
+
+    The platform kills a process at the end of its grace period.
+    """
+
+    async def scenario(site):
+        entry = await site.start(grace_s=GRACE_S, memory_limit_mb=150)
+        await site.wait_until_served(entry)
+        stopping = asyncio.Event()
+        count = int(GRACE_S / ORDER_INTERVAL_S)
+        connections = [KeptConnection(entry, n) for n in range(count)]
+        calls = []
+        for connection in connections:
+            calls.append(asyncio.create_task(connection.run(stopping)))
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.5)
+        site.server.switches.delay_s = ORDER_S
+        site.store.switches.delay_s = 1.2
+        entry.signal()
+        stopping.set()
+        await entry.wait(GRACE_S)
+        entry.kill()
+        await asyncio.gather(*calls)
+        cut_ids = {i for c in connections for i in c.unanswered}
+        assert not cut_ids & set(site.server.runs)
+
+    real_node.run(tmp_path, scenario)
