Test stops with requests that come late in a grace period

Another operator saw requests that came late in the grace period taken, passed on and cut at its end. The generated test now also runs with grace periods of 1, 3 and 8 s, and judges the first request of a kept connection too.

--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -77,7 +77,7 @@
     return f'POST {path} HTTP/1.1\r\n{lines}\r\n'.encode() + sent_body
 
 
-def generate_plan(generator, request_id, last_s):
+def generate_plan(generator, request_id, stop, last_s):
     """Return a connection whose request is cut at random positions."""
     headers = {'X-Deadline-Ms': str(generator.choice((700, 1200, 3000)))}
     path = '/alerts/x'
@@ -99,7 +99,7 @@
         for _ in range(generator.randrange(4))
     )
     parts = [data[a:b] for a, b in itertools.pairwise((0, *cuts, len(data)))]
-    opens_s = generator.uniform(-0.3, STOPS_ACCEPTING_S)
+    opens_s = generator.uniform(-0.3, stop.stops_accepting_s)
     times_s = sorted(generator.uniform(opens_s, last_s) for _ in cuts)
     if cuts and generator.random() < 0.7:
         times_s[0] = opens_s
@@ -188,76 +188,81 @@
     return caller
 
 
-async def call(deployment, entry, plan, signal_at_s, losses, watch):
-    """Carry out a plan; record a request that is lost."""
-    await asyncio.sleep(signal_at_s + plan.opens_s - now_s())
+@dataclasses.dataclass
+class Site:
+    """A deployment whose entries get a signal, and what they have lost."""
+
+    deployment: routed_site.Deployment
+    signal_at_s: float
+    watch: LoopWatch
+    losses: list[str] = dataclasses.field(default_factory=list)
+
+    async def sleep_until(self, at_s):
+        await asyncio.sleep(self.signal_at_s + at_s - now_s())
+
+    async def judge(self, caller, request_id, plan):
+        """Wait for the answer to a request that has been sent whole."""
+        sent_at_s = now_s()
+        async with asyncio.timeout(20.0):
+            await caller.wait_for_answer()
+        if caller.is_whole:
+            return
+        was_run = self.deployment.run_count(request_id)
+        late_s = caller.ended_at_s - sent_at_s
+        if was_run or late_s > LOSS_SLACK_S + self.watch.longest_s:
+            ended_s = caller.ended_at_s - self.signal_at_s
+            self.losses.append(
+                f'{request_id}: run {was_run}, cut {late_s:.3f} s after its '
+                f'last byte, {ended_s:.3f} s after the signal '
+                f'({caller.error!r}): {plan}'
+            )
+
+
+async def call(site, entry, plan):
+    """Carry out a plan."""
+    await site.sleep_until(plan.opens_s)
     try:
-        caller = await connect(deployment, entry)
+        caller = await connect(site.deployment, entry)
     except (OSError, KeyError):
-        return 'unconnected'
+        return
     if plan.kept_request:
+        request_id = f'{plan.request_id}-before'
+        is_stream = plan.kept_request == '/drafts/x'
+        headers = STREAM_HEADERS if is_stream else {}
         caller.transport.write(
-            encode(
-                random.Random(0),
-                plan.kept_request,
-                f'{plan.request_id}-before',
-                b'kept',
-                {
-                    'X-Deadline-Ms': '1000',
-                    **(
-                        STREAM_HEADERS
-                        if plan.kept_request == '/drafts/x'
-                        else {}
-                    ),
-                },
-            )
+            request(plan.kept_request, request_id, b'kept', **headers)
         )
-        await caller.wait_for_answer()
+        await site.judge(caller, request_id, plan)
         caller.received = b''
     for at_s, part in plan.parts:
-        await asyncio.sleep(signal_at_s + at_s - now_s())
+        await site.sleep_until(at_s)
         if caller.ended.is_set() or (caller.received and not plan.sends_on):
             break
         caller.transport.write(part)
     else:
-        sent_at_s = now_s()
-        async with asyncio.timeout(20.0):
-            await caller.wait_for_answer()
-        if caller.is_whole:
-            caller.transport.close()
-            return 'answered' + caller.received[8:12].decode()
-        was_run = deployment.run_count(plan.request_id)
-        late_s = caller.ended_at_s - sent_at_s
-        if was_run or late_s > LOSS_SLACK_S + watch.longest_s:
-            losses.append(
-                f'{plan.request_id}: run {was_run}, cut {late_s:.3f} s after '
-                f'its last byte, {caller.ended_at_s - signal_at_s:.3f} s '
-                f'after the signal ({caller.error!r}): {plan}'
-            )
-            return 'lost'
-        return 'crossed'
+        await site.judge(caller, plan.request_id, plan)
     if caller.received:
         async with asyncio.timeout(20.0):
             await caller.wait_for_answer()
         if not caller.is_whole:
-            losses.append(f'{plan.request_id}: answer cut: {plan}')
+            site.losses.append(f'{plan.request_id}: answer cut: {plan}')
     caller.transport.close()
-    return 'not sent whole'
 
 
-async def stop_entry(deployment, name, signal_at_s):
-    await asyncio.sleep(signal_at_s - now_s())
-    entry = deployment.nodes[name]
+async def stop_entry(site, name):
+    await site.sleep_until(0.0)
+    entry = site.deployment.nodes[name]
     await entry.leave()
     await entry.close()
-    del deployment.nodes[name]
+    del site.deployment.nodes[name]
 
 
-async def stop_all(deployment, generator):
-    """Stop several entries under load; return what happened."""
+async def stop_all(deployment, generator, grace_s):
+    """Stop several entries under load; return the requests that were lost."""
+    stop = planned_stop.PlannedStop(0.0, grace_s)
     names = [f'entry-{n}' for n in range(ENTRIES)]
     for name in names:
-        entry = await deployment.start(name, 'entry', grace_s=GRACE_S)
+        entry = await deployment.start(name, 'entry', grace_s=grace_s)
         for service in ('engines', 'plain'):
             await deployment.wait_until(
                 lambda entry=entry, service=service: (
@@ -266,14 +271,14 @@
             )
     watch = LoopWatch()
     watching = asyncio.create_task(watch.run())
-    signal_at_s = now_s() + 0.5
-    losses, calls = [], []
+    site = Site(deployment, now_s() + 0.5, watch)
+    calls = []
     for name in names:
         # Most requests end near one moment of the stop.
-        moment_s = generator.uniform(STOPS_ACCEPTING_S, GRACE_S)
+        moment_s = generator.uniform(stop.stops_accepting_s, grace_s)
         for number in range(CONNECTIONS):
             last_s = moment_s + generator.uniform(-0.1, 0.1)
-            plan = generate_plan(generator, f'{name}-{number}', last_s)
+            plan = generate_plan(generator, f'{name}-{number}', stop, last_s)
             if not number:
                 # It delays the end of the stop until then.
                 plan = dataclasses.replace(
@@ -285,36 +290,45 @@
                         (moment_s, b'b'),
                     ),
                 )
-            calls.append(
-                call(deployment, name, plan, signal_at_s, losses, watch)
-            )
-    stops = [stop_entry(deployment, name, signal_at_s) for name in names]
-    outcomes = (await asyncio.gather(*calls, *stops))[: len(calls)]
+            calls.append(call(site, name, plan))
+    stops = [stop_entry(site, name) for name in names]
+    await asyncio.gather(*calls, *stops)
     watching.cancel()
-    return losses, outcomes
+    return site.losses
+
+
+async def find_losses(deployment, generator, grace_s):
+    for server in deployment.servers.values():
+        server.switches.delay_s = 0.03
+        server.switches.events = 4
+        server.switches.event_gap_s = 0.05
+    return await stop_all(deployment, generator, grace_s)
 
 
 @pytest.mark.parametrize('seed', range(8))
 def test_request_that_was_read_whole_is_answered_at_a_planned_stop(
-    tmp_path, monkeypatch, seed
+    tmp_path, early_stop, seed
 ):
     """Guards against requests cut while the drain of an entry ends."""
-    monkeypatch.setattr(
-        planned_stop, 'STALE_REGISTRY_DRAIN_S', STOPS_ACCEPTING_S
-    )
-    found = []
 
     async def scenario(deployment):
-        for server in deployment.servers.values():
-            server.switches.delay_s = 0.03
-            server.switches.events = 4
-            server.switches.event_gap_s = 0.05
-        losses, outcomes = await stop_all(deployment, random.Random(seed))
-        found.extend(losses)
-        print({o: outcomes.count(o) for o in sorted(set(outcomes))})
+        generator = random.Random(seed)
+        assert not await find_losses(deployment, generator, GRACE_S)
+
+    routed_site.run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize('grace_s', [1.0, 3.0, 8.0])
+def test_request_that_comes_late_in_a_grace_period_is_answered(
+    tmp_path, grace_s
+):
+    """Guards against passing on what is cut when the grace period ends."""
+
+    async def scenario(deployment):
+        generator = random.Random(int(10 * grace_s))
+        assert not await find_losses(deployment, generator, grace_s)
 
     routed_site.run(tmp_path, scenario)
-    assert not found
 
 
 @pytest.fixture
