--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -621,3 +621,55 @@
         assert caller.received.startswith(b'HTTP/1.1 200')
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_stream_of_an_old_caller_that_a_stop_cuts_does_not_look_whole(
+    tmp_path, early_stop
+):
+    """Guards against an orderly end of an answer that has no other end."""
+
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.events = 1000
+            server.switches.event_gap_s = 0.05
+        await start_entry(deployment, 1.5)
+        caller = await connect(deployment, 'entry-c')
+        stream = request(
+            '/drafts/x', 'r', **{**STREAM_HEADERS, 'X-Deadline-Ms': '9000'}
+        )
+        caller.transport.write(stream.replace(b'HTTP/1.1', b'HTTP/1.0'))
+        await deployment.wait_until(lambda: caller.received)
+        await leave_and_close(deployment)
+        await caller.ended.wait()
+        assert isinstance(caller.error, ConnectionResetError)
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_body_that_goes_on_after_its_refusal_does_not_destroy_it(
+    tmp_path, early_stop
+):
+    """Guards against closing a connection while its caller sends."""
+
+    async def scenario(deployment):
+        entry = await start_entry(deployment, 5.0)
+        caller = await connect(deployment, 'entry-c')
+        caller.transport.write(
+            request('/alerts/x', 'r', b'b', length=LARGE_BODY_BYTES)
+        )
+        await deployment.wait_until(entry.listener.count_open)
+        caller.transport.pause_reading()
+        await entry.leave()
+        closing = asyncio.create_task(entry.close())
+        for _ in range(5):
+            caller.transport.write(b'b' * 20_000)
+            await asyncio.sleep(0.01)
+        caller.transport.resume_reading()
+        await caller.wait_for_answer()
+        assert caller.received.startswith(b'HTTP/1.1 503')
+        assert caller.is_whole
+        caller.transport.close()
+        await closing
+        del deployment.nodes['entry-c']
+
+    routed_site.run(tmp_path, scenario)
