Survive badly formed log calls, and a closed standard error

A library that formats its log message wrongly failed whatever it logged about, as the handler raised. The message is logged with its arguments then. A process that was started without standard error failed when it ended, as that was flushed. Tests: the added case of what libraries log, and test_instance_without_standard_error_stops_in_order, which failed on the state before only.

--- a/balsamdale/decisions.py
+++ b/balsamdale/decisions.py
@@ -185,10 +185,12 @@
     def emit(self, record):
         if _log is None:
             return
-        fields = {
-            'level': record.levelname.lower(),
-            'text': record.getMessage(),
-        }
+        try:
+            text = record.getMessage()
+        except (TypeError, ValueError):
+            # A mistake in a call of a library must not fail the library.
+            text = f'{record.msg!r} % {record.args!r}'
+        fields = {'level': record.levelname.lower(), 'text': text}
         if record.exc_info and record.exc_info[1] is not None:
             fields['traceback'] = format_traceback(record.exc_info[1])
         _log.add(record.created, 'message', fields)
--- a/balsamdale/platform/__main__.py
+++ b/balsamdale/platform/__main__.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import sys
 
 if __name__ == '__main__':
     # The platform may tell of new settings while the rest is loaded.
@@ -34,7 +33,6 @@
     """Run until SIGTERM, with the settings file that the platform wrote."""
     path = os.environ.get(SETTINGS_VARIABLE, '')
     status = node.main(path, adapter.PlatformAdapter(), ROLES)
-    sys.stderr.flush()
     # The end of the interpreter would wait for threads.
     os._exit(status)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -171,6 +171,7 @@
     'source',
     [
         "logging.getLogger('aiohttp.server').error('odd')",
+        "logging.getLogger('aiohttp.server').error('odd %d', 'x')",
         "warnings.warn('odd')",
         'FailsWhenDeleted()',
         'fail_in_a_thread()',
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -114,6 +114,25 @@
     real_node.run(tmp_path, scenario)
 
 
+CLOSED_STANDARD_ERROR = """
+import os, sys
+
+os.close(2)
+sys.stderr = None
+"""
+
+
+def test_instance_without_standard_error_stops_in_order(tmp_path):
+    """A daemon may be started without one."""
+
+    async def scenario(site):
+        entry = await site.start(prelude=CLOSED_STANDARD_ERROR)
+        entry.signal()
+        assert await entry.wait() == 0
+
+    real_node.run(tmp_path, scenario)
+
+
 FAILING_LEAVE = """
 import asyncio
 from balsamdale import entry_node
