--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -7,6 +7,7 @@
 from balsamdale import adapter
 from balsamdale import decisions
 from balsamdale import discovery
+from balsamdale import drain
 from balsamdale import errors
 from balsamdale import exchange
 from balsamdale import http_connection
@@ -34,10 +35,6 @@
 __all__ = ['EntryNode']
 
 EXPIRY_CHECK_INTERVAL_S = 0.25
-DRAIN_POLL_INTERVAL_S = 0.05
-# Polls after the end of a drain: answers that arrived while this process was
-# held up are passed on first.
-LATE_DRAIN_POLLS = 2
 # Crashes with the same request in flight after which it is quarantined; two
 # can be a coincidence if servers crash for other reasons.
 QUARANTINE_CRASH_LIMIT = 3
@@ -269,13 +266,18 @@
         self._background.spawn(super().leave())
         try:
             await asyncio.sleep(stop.stops_accepting_s - _loop_time_s())
-            # Under load there would always be a request that was just
-            # accepted.
+            # Under load there would always be a request just accepted.
             await self.listener.stop_accepting()
             decisions.record(
                 'accepting_stopped', open_requests=self.listener.count_open()
             )
-            await self._drain(stop)
+            await drain.wait(
+                stop,
+                lambda: (
+                    not self.server_paths.count_sending()
+                    and self.listener.is_drained(stop)
+                ),
+            )
         finally:
             decisions.record(
                 'drained',
@@ -285,22 +287,6 @@
             )
             self.handler.end_unanswered()
 
-    async def _drain(self, stop):
-        """Wait until nothing is open, or until the stop has to end."""
-        interval_s = min(
-            DRAIN_POLL_INTERVAL_S,
-            stop.close_reserve_s / (4 * LATE_DRAIN_POLLS),
-        )
-        polls_left = LATE_DRAIN_POLLS
-        while polls_left:
-            if _loop_time_s() >= stop.ends_s:
-                polls_left -= 1
-            # The listener learns of what it has accepted only after this.
-            await asyncio.sleep(interval_s)
-            is_sending = self.server_paths.count_sending()
-            if self.listener.is_drained(stop) and not is_sending:
-                return
-
     async def close(self) -> None:
         await self.listener.close()
         self.quota_client.close()
