Test late requests whose time limits end with the stop

A server that is silent, and a time limit that ends just before the drain: the request is answered with 504 (passed on) or refused. This held before.

--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -673,3 +673,28 @@
         del deployment.nodes['entry-c']
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_late_request_at_a_silent_server_is_answered(tmp_path, early_stop):
+    """Guards against time limits that end with the stop itself."""
+
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.delay_s = 30.0
+        entry = await start_entry(deployment, 3.0)
+        caller = await connect(deployment, 'entry-c')
+        caller.transport.write(request('/alerts/x', 'r', b'b', length=2))
+        await deployment.wait_until(entry.listener.count_open)
+        stopping = asyncio.create_task(leave_and_close(deployment))
+        ends_s = planned_stop.PlannedStop(now_s(), 3.0).ends_s
+        # The route allows for one second, which ends just before the stop.
+        await asyncio.sleep(ends_s - 1.05 - now_s())
+        caller.transport.write(b'c')
+        await stopping
+        await caller.ended.wait()
+        assert caller.is_whole
+        passed_on = deployment.run_count('r')
+        status = b'504' if passed_on else b'503'
+        assert caller.received.startswith(b'HTTP/1.1 ' + status)
+
+    routed_site.run(tmp_path, scenario)
