Go on with a stop although a late connection cannot be taken over

A connection that the kernel has accepted may be reset before the listener takes it over; that must not end the wait for the others. Found by reading.

--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -127,9 +127,12 @@
         await asyncio.sleep(0)
         accepted = list(caller_connection.accept_waiting(self._socket))
         await self._close_sites()
-        await asyncio.gather(
-            *(loop.connect_accepted_socket(self._server, s) for s in accepted)
+        results = await asyncio.gather(
+            *(loop.connect_accepted_socket(self._server, s) for s in accepted),
+            return_exceptions=True,
         )
+        for error in filter(_is_error, results):
+            decisions.record('accept_failed', reason=repr(error))
         self._server.close_idle()
 
     async def _close_sites(self):
@@ -498,6 +501,10 @@
             raise errors.CallerDisconnected(str(error)) from error
 
 
+def _is_error(result):
+    return isinstance(result, BaseException)
+
+
 def _check_length(request, limit_bytes):
     """Raise if a body is declared to exceed the limit on bodies."""
     length = request.content_length
