Add a failing test of a long order to a suspended server

What callers see: an order whose body does not fit into the receive window of its server is answered 502 if the server is suspended for more than 1.5 s, though its machine acknowledges throughout and the server goes on.

Cause: sockets.CLIENT_UNACKED_TIMEOUT_MS is set as TCP_USER_TIMEOUT, which on Linux also ends a connection whose peer answers window probes but takes no data. Without it a machine that is down is found by the deadline only, once data is unacknowledged.

--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -229,3 +229,20 @@
         assert outcomes['broken'] == 1
 
     run(tmp_path, 'plain', scenario, delay_s=30.0)
+
+
+def test_long_order_to_a_suspended_server_is_answered(tmp_path):
+    """TCP ends a connection whose peer's window stays full for 1.5 s."""
+
+    async def scenario(site):
+        site.processes[0].suspend()
+        request_task = asyncio.create_task(
+            site.deployment.post(
+                '/alerts/x', bytes(1_000_000), **{'X-Deadline-Ms': '8000'}
+            )
+        )
+        await asyncio.sleep(2 * SILENCE_S)
+        site.processes[0].resume()
+        assert (await request_task)[0] == 200
+
+    run(tmp_path, 'plain', scenario)
