--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -607,3 +607,30 @@
         assert caller.received.startswith(b'HTTP/1.1 200')
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_request_that_ends_while_a_closing_entry_is_held_up_is_answered(
+    tmp_path, early_stop
+):
+    """Guards against closing a connection whose request waits to be read."""
+
+    async def scenario(deployment):
+        entry = await start_entry(deployment, 2.0)
+        caller = await connect(deployment, 'entry-c')
+        # A body that does not come keeps the stop from ending early.
+        other = await connect(deployment, 'entry-c')
+        other.transport.write(request('/alerts/x', 'other', b'a', length=2))
+        await deployment.wait_until(entry.listener.count_open)
+        caller.transport.write(CHUNKED[:20])
+        stop = planned_stop.PlannedStop(now_s(), 2.0)
+        await entry.leave()
+        closing = asyncio.create_task(entry.close())
+        await asyncio.sleep(0.02)
+        caller.transport.write(CHUNKED[20:])
+        time.sleep(max(0.0, stop.closes_s + 0.1 - now_s()))
+        await caller.wait_for_answer()
+        assert caller.received.startswith(b'HTTP/1.1 503')
+        await closing
+        del deployment.nodes['entry-c']
+
+    routed_site.run(tmp_path, scenario)
