--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import subprocess
 import sys
@@ -188,3 +189,14 @@
     assert [line['event'] for line in lines] == ['message']
     assert b'odd' in done.stdout
     assert done.stderr == b''
+
+
+def test_message_that_cannot_be_formatted_fails_nobody(monkeypatch):
+    """Guards against errors of log calls that reach what has logged."""
+    log = decisions.DecisionLog(1, 'entry-a')
+    monkeypatch.setattr(decisions, '_log', log)
+    record = logging.LogRecord(
+        'library', logging.ERROR, '', 0, 'took %d s', ('long',), None
+    )
+    decisions._Handler().handle(record)
+    assert log.line_count == 1
