Share the reserve of a grace period in one place

Under grace periods below 3.6 s a process ended the leaving and the close of its instance before the instance's own deadlines: with 1 s and an order of 0.65 s the caller got 504 instead of its answer, with 3 s the last looks of a drain and of a close were left out.

Cause: the reserve for closing became a sixth of a short grace period, and the process went on with a second. All parts of a stop now share planned_stop.close_reserve_s: 0.5 of it is left when the leaving is ended, 0.3 when the close is, 0.1 when the last lines are given up. Nothing changes for 6 s and more but the latter.

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -104,7 +104,8 @@
 
     async def leave(self) -> None:
         loop = asyncio.get_running_loop()
-        drain_s = self.settings.grace_s - planned_stop.CLOSE_RESERVE_S
+        grace_s = self.settings.grace_s
+        drain_s = grace_s - planned_stop.close_reserve_s(grace_s)
         drains_at_s = loop.time() + drain_s - REPLY_DRAIN_S
         # A store that does not reply must not use up the grace period.
         await shutdown.run_steps({'registration': super().leave}, drains_at_s)
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -31,8 +31,11 @@
 
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
-# Part of the reserve for closing that is left for the end of the process.
-EXIT_RESERVE_S = 0.3
+# Shares of the reserve for closing: what is left of it when the leaving of an
+# instance is ended, when its close is, and when the last lines are written.
+LEAVE_RESERVE_SHARE = 0.5
+EXIT_RESERVE_SHARE = 0.3
+LOG_RESERVE_SHARE = 0.1
 # Time without reading after which the reader of the log is given up, when the
 # last lines are written.
 LOG_STALL_S = 0.5
@@ -259,9 +262,9 @@
     # The loop is not closed: this would wait for threads, which may wait for
     # a disk, and let signals end the process before the last lines are out.
     runner = asyncio.Runner()
-    ends_s = None
+    writes_until_s = None
     try:
-        ends_s = runner.run(
+        writes_until_s = runner.run(
             _run(settings, platform_adapter, node_type, log, path)
         )
     except Exception as error:
@@ -270,15 +273,19 @@
             reason=repr(error),
             traceback=decisions.format_traceback(error),
         )
-    if ends_s is None:
-        log.drain(LOG_STALL_S, planned_stop.CLOSE_RESERVE_S)
+    if writes_until_s is None:
+        log.drain(LOG_STALL_S, LOG_STALL_S)
         return EXIT_FAILED
-    log.drain(LOG_STALL_S, ends_s - time.monotonic())
+    log.drain(LOG_STALL_S, writes_until_s - time.monotonic())
     return 0
 
 
 async def _run(settings, platform_adapter, node_type, log, path):
-    """Run until SIGTERM; return when the process will be killed."""
+    """Run until SIGTERM; return until when the last lines may be written.
+
+    All parts of a stop are counted from the signal, so that they end before
+    the process is killed.
+    """
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -295,19 +302,22 @@
     # An instance that stops has no use for new settings.
     loop.add_signal_handler(signal.SIGHUP, _ignore_reload)
     stopping_at_s = loop.time()
-    ends_s = stopping_at_s + settings.grace_s
+    killed_at_s = stopping_at_s + settings.grace_s
+    reserve_s = planned_stop.close_reserve_s(settings.grace_s)
+    closes_at_s = killed_at_s - EXIT_RESERVE_SHARE * reserve_s
     # A process that is killed at the end of its grace period still tells
     # what it was doing.
     decisions.write_through()
     decisions.record('stopping', grace_s=settings.grace_s)
     await shutdown.run_steps(
-        {'leave': instance.leave}, ends_s - planned_stop.CLOSE_RESERVE_S / 2
+        {'leave': instance.leave},
+        killed_at_s - LEAVE_RESERVE_SHARE * reserve_s,
     )
-    await instance.close(ends_s - EXIT_RESERVE_S)
-    await shutdown.cancel_tasks(ends_s - EXIT_RESERVE_S)
+    await instance.close(closes_at_s)
+    await shutdown.cancel_tasks(closes_at_s)
     took_s = round(loop.time() - stopping_at_s, 3)
     decisions.record('stopped', took_s=took_s)
-    return ends_s
+    return killed_at_s - LOG_RESERVE_SHARE * reserve_s
 
 
 def _ignore_reload():
