Wait for a request that arrives between the drain and the close

An order that reached a stopping entry in the few steps of its event loop between the end of an early drain, which had found nothing open, and the close of the listener was admitted, passed on and cut after half a second, though most of the grace period was left.

Cause: the close of the listener gives half a second to connections on which a request is expected, and gave no more to those on which one was handled. It now waits for these until connections are closed at the latest.

Evidence: test_request_that_arrives_between_drain_and_close_is_answered failed before (no answer) and passes. Found by the review, by reading.

--- a/balsamdale/listener.py
+++ b/balsamdale/listener.py
@@ -172,6 +172,9 @@
     def _close_until_s(self):
         if self._planned_stop is None:
             return _now_s() + SHUTDOWN_TIMEOUT_S
+        if self._responders:
+            # They may have come after the drain had found nothing open.
+            return self._planned_stop.closes_s
         return min(
             _now_s() + planned_stop.FIRST_REQUEST_WAIT_S,
             self._planned_stop.closes_s,
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -725,3 +725,24 @@
         del deployment.nodes['entry-c']
 
     routed_site.run(tmp_path, scenario)
+
+
+def test_request_that_arrives_between_drain_and_close_is_answered(
+    tmp_path, early_stop
+):
+    """Guards against half a second for what a drain has just missed."""
+
+    async def scenario(deployment):
+        for server in deployment.servers.values():
+            server.switches.delay_s = 0.9
+        entry = await start_entry(deployment, 5.0)
+        caller = await connect(deployment, 'entry-c')
+        await entry.leave()
+        caller.transport.write(request('/alerts/x', 'r', b'b'))
+        await deployment.wait_until(lambda: deployment.run_count('r'))
+        await entry.close()
+        await caller.wait_for_answer()
+        assert caller.received.startswith(b'HTTP/1.1 200')
+        del deployment.nodes['entry-c']
+
+    routed_site.run(tmp_path, scenario)
