--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -152,9 +152,9 @@
             f'{"" if stop.was_started else ", before it had started"}'
         )
     for loss in played.losses:
+        yield f'  {loss.excuse or "lost"}: {loss.describe()}'
         if loss.excuse == verdict.TIME_OVER:
             continue
-        yield f'  {loss.excuse or "lost"}: {loss.describe()}'
         for line in played.lines[loss.attempt.request_id]:
             yield f'    log of {loss.attempt.request_id}: {line}'
     for fault in played.faults:
@@ -194,7 +194,11 @@
         typer.Option('--set', help='field of the load and its value, a=1'),
     ] = (),
 ):
-    """Play seeds one after the other; keep the logs of those that fail."""
+    """Play seeds one after the other.
+
+    The logs of a seed are kept if it fails, or if a request that a server ran
+    had no whole answer for any reason.
+    """
     has_failed = False
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     with tempfile.TemporaryDirectory() as name:
@@ -209,9 +213,9 @@
             for line in report(seed, planned, played):
                 print(line)
             summary = summarize(seed, played)
-            if played.faults:
+            has_failed = has_failed or bool(played.faults)
+            if played.faults or played.losses:
                 summary['logs'] = str(folder)
-                has_failed = True
             else:
                 shutil.rmtree(folder)
             print(json.dumps(summary), flush=True)
