--- /dev/null
+++ b/review/kit_2/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the scripts of the second review."""
