--- a/review/kit_2/site.py
+++ b/review/kit_2/site.py
@@ -89,6 +89,10 @@
             setattr(server.switches, key, value)
         address = await self._serve(server.app())
         self.servers[name] = server
+        self.write_server(name, service, address, zone, 1)
+
+    def write_server(self, name, service, address, zone, born):
+        """Write an engine's entry, as the engine does."""
         entry = {
             'service': service,
             'address': address,
@@ -98,7 +102,7 @@
             'state': 'ready',
             'cold_left_ms': 0,
             'seq': 1,
-            'born': 1,
+            'born': born,
         }
         self.store.write(f'servers/{name}', json.dumps(entry).encode())
 
