--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")/../.." || exit 2
+exec python3 review/8/case.py
