--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,72 +1,101 @@
-"""A store machine is retired, another replaced, a third loses its disk."""
+"""Turns with a common input are refused after engines have crashed."""
 
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parents[1]))
 sys.path.insert(0, str(HERE.parents[1] / 'target' / 'deps'))
 
+from review.kit_2 import engines as engines_of  # noqa: E402
 from review.kit_2 import site as sites  # noqa: E402
 from standins import platform_store  # noqa: E402
 
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-CATCH_UP_S = 4.8
-RECOVER_S = 12.0
-TURN_INTERVAL_S = 0.1
+STABLE_WINDOW_S = 3.0
+ENGINE_DOWN_S = 2.0
+CRASHES = 3
+TRIES = 5
+ENTRIES = ('entry-a', 'entry-b', 'entry-c')
+ENGINES = tuple(f'engine-{number}' for number in range(1, 6))
+COMMON_INPUT = b'yes, please go on'
+# Programs that have a turn with this input under way at each crash, and
+# programs that send it later.
+BUSY, LATER = 10, 20
 
 
-class Callers:
-    """Programs of three turns, one begun every so often."""
+class Programs:
+    """Programs whose first turns are kept and that send a second one."""
 
     def __init__(self, site):
-        self.site = site
-        self.outcomes = []
-        self._tasks = set()
-        self._count = 0
-
-    async def run(self):
-        while True:
-            self._count += 1
-            task = asyncio.create_task(self._run_program(self._count))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(TURN_INTERVAL_S)
-
-    async def _run_program(self, number):
-        parent = ''
-        for turn in range(3):
-            sent_s = self.site.record.now_s()
-            turn_id = f'p{number}t{turn}'
-            addresses = self.site.entries()
-            headers = {
-                'Host': sites.HOST,
-                'X-Request-Id': turn_id,
-                'X-Deadline-Ms': '2500',
-                'X-Program-Id': f'p{number}',
-                'X-Session-Id': f's{number}',
-                'X-Finish-Ms': '9000',
-                'X-Token-Budget': '3000',
-                'X-Token-Usage': '100,30',
-            }
-            if parent:
-                headers['X-Previous-Turn'] = parent
-            answer = await self.site.send(
-                addresses[(number + turn) % len(addresses)],
-                '/turns/x',
-                b'[%s]' % turn_id.encode(),
-                headers,
+        self._site = site
+        self._tries = 0
+
+    async def send(self, program, turn, body, parent=''):
+        """Send one client attempt; return its id and its answer."""
+        self._tries += 1
+        turn_id = f'{program}{turn}n{self._tries}'
+        headers = {
+            'Host': sites.HOST,
+            'X-Request-Id': turn_id,
+            'X-Deadline-Ms': '2500',
+            'X-Program-Id': program,
+            'X-Session-Id': f's{program}',
+            'X-Finish-Ms': '60000',
+            'X-Token-Budget': '3000',
+            'X-Token-Usage': '100,30',
+        }
+        if parent:
+            headers['X-Previous-Turn'] = parent
+        addresses = self._site.entries()
+        answer = await self._site.send(
+            addresses[self._tries % len(addresses)],
+            '/turns/x',
+            body,
+            headers,
+        )
+        return turn_id, answer
+
+    async def begin(self, programs):
+        """Return the id of the kept first turn of each program served."""
+        sent = [
+            self.send(program, 'a', f'question of {program}'.encode())
+            for program in programs
+        ]
+        answers = await asyncio.gather(*sent)
+        return {
+            program: turn_id
+            for program, (turn_id, answer) in zip(
+                programs, answers, strict=True
             )
-            self.outcomes.append((sent_s, answer))
-            if answer != 200:
-                return
-            parent = turn_id
-
-    def served(self, from_s, until_s):
-        answers = [a for s, a in self.outcomes if from_s <= s < until_s]
-        return answers.count(200), len(answers)
+            if answer == 200
+        }
+
+
+async def crash_engines(site, engines, programs):
+    """Crash an engine three times, each while such turns are under way."""
+    for number in range(CRASHES):
+        names = [f'busy{number}x{index}' for index in range(BUSY)]
+        kept = await programs.begin(names)
+        under_way = [
+            asyncio.create_task(
+                programs.send(name, 'b', COMMON_INPUT, turn_id)
+            )
+            for name, turn_id in kept.items()
+        ]
+        await asyncio.sleep(0.3)
+        if HAS_TROUBLE:
+            running = {
+                server
+                for _, server, request_id in engines.runs()
+                if request_id.startswith(tuple(f'{n}b' for n in names))
+            }
+            site.kill(min(running), signal.SIGKILL)
+        await asyncio.gather(*under_way)
+        await asyncio.sleep(ENGINE_DOWN_S + 2.0)
 
 
 async def run(record):
@@ -77,66 +106,51 @@
             [
                 {
                     'name': 'engines',
-                    'max_conns': 200,
+                    'max_conns': 250,
                     'engine': {'slots': 8, 'tokens_per_event': 10},
                 }
             ],
         )
-        for name, zone in (('engine-1', 'a'), ('engine-2', 'b')):
-            await site.add_server(name, 'engines', zone)
+        engines = engines_of.Engines(site, 'engines', ENGINE_DOWN_S)
+        for name in ENGINES:
+            engines.start(name)
         for zone in 'abc':
             site.start_process(f'store-{zone}', 'archive', zone, True)
-        for zone in 'ab':
-            site.start_process(f'entry-{zone}', 'entry', zone, True)
-        await site.wait_until_ready('entry-a', 'entry-b')
-        await asyncio.sleep(2.0)
-        callers = Callers(site)
-        task = asyncio.create_task(callers.run())
-        await asyncio.sleep(3.0)
-        if HAS_TROUBLE:
-            await cause_trouble(site)
-        else:
-            await asyncio.sleep(30.0)
-        fault_s = record.now_s()
-        if HAS_TROUBLE:
-            site.kill('store-c')
-            site.lose_disk('store-c')
-            await asyncio.sleep(1.0)
-            site.start_process('store-c', 'archive', 'c', False)
-        back_s = record.now_s()
-        await asyncio.sleep(RECOVER_S + 8.0)
-        task.cancel()
-        before = callers.served(fault_s - 4.0, fault_s)
-        after = callers.served(back_s + RECOVER_S, back_s + RECOVER_S + 6.0)
-        record.add('served in the 4 s before the last fault:', *before)
-        record.add('served later than recover_s after it:', *after)
-        if before[0] * 4 < before[1] or not after[1]:
+        for name in ENTRIES:
+            site.start_process(name, 'entry', name[-1], True)
+        await site.wait_until_ready(*ENTRIES)
+        await asyncio.sleep(STABLE_WINDOW_S)
+        watching = asyncio.create_task(engines.run())
+        programs = Programs(site)
+        kept = await programs.begin([f'later{n}' for n in range(LATER)])
+        await crash_engines(site, engines, programs)
+        await asyncio.sleep(STABLE_WINDOW_S + 2.0)
+        record.add('calm since stable_window_ms and 2 s')
+        unreached = 0
+        for program, parent in kept.items():
+            sent = [
+                await programs.send(program, 'b', COMMON_INPUT, parent)
+                for _ in range(TRIES)
+            ]
+            ran = {request_id for _, _, request_id in engines.runs()}
+            unreached += not ran & {turn_id for turn_id, _ in sent}
+        first = await programs.begin([f'new{n}' for n in range(LATER)])
+        watching.cancel()
+        record.add('crashes:', engines.crashes)
+        record.add('first turns served now:', len(first), 'of', LATER)
+        record.add(
+            f'turns that reached no engine in {TRIES} tries:',
+            unreached,
+            'of',
+            len(kept),
+        )
+        if len(first) < 0.9 * LATER or len(kept) < 0.9 * LATER:
+            record.add('the case could not run')
+            return 2
+        if HAS_TROUBLE and engines.crashes < CRASHES:
             record.add('the case could not run')
             return 2
-        return int(after[0] * 4 < after[1])
-
-
-async def cause_trouble(site):
-    """Retire a store machine, and replace another one for good."""
-    site.store.write('op/retire/store-a', b'{"duration_s": 8}')
-    site.record.add('asked to retire store-a')
-    done = '"completed"'
-    await site.wait_until(lambda: is_retired(site, done))
-    site.record.add('store-a is retired')
-    site.kill('store-a')
-    await asyncio.sleep(5.0)
-    site.kill('store-b')
-    await asyncio.sleep(2.0)
-    site.start_process('store-d', 'archive', 'b', False)
-    # A removed machine counts as lost until its successor has caught up.
-    await asyncio.sleep(CATCH_UP_S + 8.0)
-
-
-def is_retired(site, done):
-    import base64
-
-    value = site.key('status/retire/store-a')
-    return value is not None and done in base64.b64decode(value).decode()
+        return int(unreached > 0)
 
 
 async def main():
--- a/review/kit_2/fragile_engine.py
+++ b/review/kit_2/fragile_engine.py
@@ -13,6 +13,7 @@
 
 POISON = b'poison'
 WORK_S = 0.2
+EVENTS, EVENT_GAP_S = 3, 0.2
 
 
 async def handle(request, server_id, log):
@@ -25,11 +26,24 @@
     os.write(log, line.encode())
     if body == POISON:
         os._exit(1)
-    await asyncio.sleep(WORK_S)
     headers['X-Server-Seal'] = hashlib.sha256(body).hexdigest()[:8]
+    if 'X-Token-Usage' in request.headers:
+        return await stream(request, headers)
+    await asyncio.sleep(WORK_S)
     return web.Response(body=b'done ' + body, headers=headers)
 
 
+async def stream(request, headers):
+    response = web.StreamResponse(headers=headers)
+    response.content_type = 'text/event-stream'
+    await response.prepare(request)
+    for number in range(1, EVENTS + 1):
+        await asyncio.sleep(EVENT_GAP_S)
+        await response.write(b'id: %d\ndata: e%d\n\n' % (number, number))
+    await response.write_eof()
+    return response
+
+
 async def main():
     port, server_id, path = int(sys.argv[1]), sys.argv[2], sys.argv[3]
     log = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
--- a/review/kit_2/site.py
+++ b/review/kit_2/site.py
@@ -52,6 +52,7 @@
         self.processes = {}
         self.settings = {}
         self._ports = set()
+        self.is_closed = False
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
@@ -66,6 +67,7 @@
         return self
 
     async def __aexit__(self, *_):
+        self.is_closed = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
