--- a/review/kit_2/site.py
+++ b/review/kit_2/site.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -25,6 +26,8 @@
 HOST = platform_store.HOST
 GRACE_S = 8.0
 START_TIMEOUT_S = 20.0
+# Below the ports that Linux gives to outgoing connections.
+FIRST_PORT, LAST_PORT = 12000, 32000
 
 
 class Record:
@@ -222,11 +225,13 @@
         return sum(s.runs.count(request_id) for s in self.servers.values())
 
     def _free_address(self):
+        """Return an address whose port no outgoing connection is given."""
         while True:
-            with socket.socket() as probe:
-                probe.bind(('127.0.0.1', 0))
-                port = probe.getsockname()[1]
-            if port not in self._ports:
+            port = random.randrange(FIRST_PORT, LAST_PORT)
+            if port in self._ports:
+                continue
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind(('127.0.0.1', port))
                 self._ports.add(port)
                 return f'127.0.0.1:{port}'
 
