--- a/review/kit_2/engines.py
+++ b/review/kit_2/engines.py
@@ -45,9 +45,7 @@
             },
             stdin=subprocess.DEVNULL,
         )
-        site.write_server(
-            name, self._service, address, 'a', self._starts
-        )
+        site.write_server(name, self._service, address, 'a', self._starts)
 
     async def run(self):
         """Start engines again that have crashed."""
