Fix requests of others refused after servers have crashed

Cause: evidence could only be added to, under a key that unrelated requests share. The digest was of path and body; a turn's body is its new input alone. That is not all of it: with the new digest and without refutation, a read that is repeated and served each time is still refused after three crashes (test_request_that_ran_at_another_server_...).

Earlier builds get their ReportCrash, and theirs count with ours. The way of a request has no digest to compute while nothing is suspected.

The mutation quarantine_off takes any arguments now, as is_quarantined has the present time; it is as strict as before.

--- a/balsamdale/attempts.py
+++ b/balsamdale/attempts.py
@@ -34,6 +34,7 @@
 MAX_LIMIT_WAIT_SHARE = 0.25
 # Status of another server at the address of the chosen one.
 MISDIRECTED_STATUS = 421
+SUCCESS_STATUSES = range(200, 300)
 
 Deliver = collections_abc.Callable[
     [request_state.RequestState, exchange.Response],
@@ -194,8 +195,18 @@
             if await self._attempt(
                 state, choice.server, excluded, body, timeout_s, deliver
             ):
+                self._record_run(state)
                 return
 
+    def _record_run(self, state):
+        """Record that a request has run to its end, if that is evidence.
+
+        A server may answer an error without having begun.
+        """
+        reports = self._context.crash_reports
+        if not reports.is_idle and state.status in SUCCESS_STATUSES:
+            reports.record_run(*state.crash_digests())
+
     def _is_within_budget(self, state):
         """Count an attempt; return whether the retry budget allows it.
 
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -5,6 +5,7 @@
 import random
 
 from balsamdale import adapter
+from balsamdale import crash_reports
 from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import drain
@@ -83,8 +84,13 @@
             self._paused_s,
         )
         self.quarantine = quarantine.Quarantine(QUARANTINE_CRASH_LIMIT)
+        self.crash_reports = crash_reports.CrashReports(
+            self.links,
+            self.member_directory.entry_peers,
+            self.quarantine,
+            clocks.monotonic,
+        )
         self.reports_ignored = 0
-        self.links.serve(quarantine.ReportCrash, self._on_crash)
         self.quota_client = quota.QuotaClient(
             self.relay,
             self._limiter_names,
@@ -131,7 +137,7 @@
                 wall_clock=clocks.wall,
                 account_retention_s=settings.account_retention_s,
                 quarantine=self.quarantine,
-                report_crash=self._broadcast,
+                crash_reports=self.crash_reports,
                 report_leaving=self._broadcast,
                 record_latency=self.metrics.add_histogram(
                     'balsamdale_request_seconds',
@@ -175,6 +181,7 @@
         )
         self._background.spawn_loop(self._run_expiry)
         self._background.spawn_loop(self.quota_service.run)
+        self._background.spawn_loop(self.crash_reports.run)
         await super().start()
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
@@ -185,6 +192,7 @@
             **self.limit_client.gauges(),
             **self.limit_service.gauges(),
             **self.server_paths.gauges(),
+            **self.crash_reports.gauges(),
             **self._response_gauges(),
             'requests_in_flight': (
                 'Requests of callers',
@@ -288,6 +296,7 @@
         work, connections = super().close_stages()
         work |= {
             'quota_client': self.quota_client.close,
+            'crash_reports': self.crash_reports.news.close,
             'limit_client': self.limit_client.close,
             'limit_service': self.limit_service.close,
             'server_paths': self.server_paths.close,
@@ -320,10 +329,6 @@
         except errors.LinkError as error:
             decisions.record('report_lost', peer=peer_id, reason=str(error))
 
-    async def _on_crash(self, _sender, message):
-        self.quarantine.report(message.digest, message.crash_id)
-        yield members.Heard()
-
     async def _on_leaving(self, _sender, message):
         # Not passed on: whoever learned it from the server told all entries.
         if message.is_valid():
--- a/balsamdale/instance.py
+++ b/balsamdale/instance.py
@@ -310,7 +310,9 @@
                     peer_id, messages.PullCrashes()
                 )
                 for crash in reply.crashes:
-                    self.quarantine.report(crash.digest, crash.crash_id)
+                    self.quarantine.report(
+                        crash.digest, crash.crash_id, self._clock()
+                    )
                 return
 
     async def _run_repair(self):
@@ -379,7 +381,7 @@
         id.
         """
         crash_id = f'{server}@{int(self._clock() / CRASH_ID_WINDOW_S)}'
-        self.quarantine.report(digest, crash_id)
+        self.quarantine.report(digest, crash_id, self._clock())
         message = quarantine.ReportCrash(crash_id, digest)
         for peer_id in self.members.reachable():
             self._background.spawn(self._notify(peer_id, message))
@@ -389,7 +391,7 @@
             await self.links.request(peer_id, message)
 
     async def _on_crash_reported(self, _sender, message):
-        self.quarantine.report(message.digest, message.crash_id)
+        self.quarantine.report(message.digest, message.crash_id, self._clock())
         yield messages.Ok()
 
     async def _on_pull_crashes(self, _sender, _message):
--- a/balsamdale/owner.py
+++ b/balsamdale/owner.py
@@ -282,7 +282,9 @@
         return program_state
 
     def _check_quarantine(self, digest):
-        if self._context.quarantine.is_quarantined(digest):
+        if self._context.quarantine.is_quarantined(
+            digest, self._context.clock()
+        ):
             raise errors.Refused(
                 'quarantined', 422, 'this request crashes backend servers'
             )
@@ -450,7 +452,9 @@
         return [] if step_finished is None else [step_finished]
 
     def _next_action(self, program_state, turn):
-        if self._context.quarantine.is_quarantined(turn.accepted.digest):
+        if self._context.quarantine.is_quarantined(
+            turn.accepted.digest, self._context.clock()
+        ):
             return program.Finish('failed', 'quarantined', '', 'unknown')
         action = program.next_action(
             program_state,
@@ -747,7 +751,7 @@
             else 0,
             answer_tokens=action.answer_tokens if is_engine else 0,
             suspect=self._context.quarantine.is_suspected(
-                turn.accepted.digest
+                turn.accepted.digest, self._context.clock()
             ),
         )
 
--- a/balsamdale/request_state.py
+++ b/balsamdale/request_state.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 
+from balsamdale import crash_reports
 from balsamdale import discovery
 from balsamdale import events
 from balsamdale import exchange
@@ -24,10 +25,14 @@
     'RecordIds',
     'RequestState',
     'Responder',
-    'digest',
+    'crash_digest',
+    'earlier_crash_digest',
     'record_ids',
 ]
 
+# Longer than those of earlier builds, so that none is taken for another.
+CRASH_DIGEST_BYTES = 16
+
 
 class Responder(abc.ABC):
     """Sends the response to one caller.
@@ -88,8 +93,8 @@
             epoch.
         account_retention_s: how long a program's token account is kept after
             the program's deadline and the retention of its turns.
-        quarantine: digests of requests that crashed backend servers.
-        report_crash: sends a crash report to the peers.
+        quarantine: requests that crashed backend servers.
+        crash_reports: tells the other entries of crashes.
         report_leaving: tells the other entries that a server is leaving.
         record_latency: records how long a request took, by its outcome.
         quota: acquires units of the quotas of workspaces.
@@ -109,7 +114,7 @@
     wall_clock: collections_abc.Callable[[], float]
     account_retention_s: float
     quarantine: quarantine.Quarantine
-    report_crash: collections_abc.Callable[[quarantine.ReportCrash], None]
+    crash_reports: crash_reports.CrashReports
     report_leaving: collections_abc.Callable[[discovery.ReportLeaving], None]
     record_latency: metrics.RecordValue
     quota: quota.QuotaClient
@@ -222,6 +227,16 @@
             self.route.is_idempotent and not self.responder.has_begun
         )
 
+    def crash_digests(self) -> tuple[str, str]:
+        """Return its crash digest, and that of earlier builds."""
+        workspace = self.workspace.name if self.workspace is not None else ''
+        return (
+            crash_digest(
+                self.call, self.route, workspace, self.record_ids.parent_id
+            ),
+            earlier_crash_digest(self.call),
+        )
+
     def record_stage(self, name: str, now_s: float) -> None:
         """Record that a stage was reached, with the time since arrival."""
         self.stage_times_s[name] = round(now_s - self.started_s, 4)
@@ -283,11 +298,33 @@
     )
 
 
-def digest(call: wire.Call) -> str:
-    """Return the crash digest: a hash of path, query and body.
+def crash_digest(
+    call: wire.Call, route: routes.Route, workspace: str, parent_id: str
+) -> str:
+    """Return the digest by which crashes are counted against a request.
 
-    A request that is sent again has the same digest.
+    One that its caller sends again has the same digest: the same workspace,
+    method, path, query and body, on the same history.
+
+    Args:
+        call: the caller's request.
+        route: the route that it matches.
+        workspace: workspace of the caller; empty without one.
+        parent_id: id under which the turn that it continues is stored.
     """
-    hashed = hashlib.blake2b(call.target.encode(), digest_size=12)
+    history_id = parent_id if route.stores_turns else ''
+    hashed = hashlib.blake2b(digest_size=CRASH_DIGEST_BYTES)
+    for part in (workspace, call.method, call.target, history_id):
+        data = part.encode(errors='surrogateescape')
+        hashed.update(len(data).to_bytes(4) + data)
+    hashed.update(call.body)
+    return hashed.hexdigest()
+
+
+def earlier_crash_digest(call: wire.Call) -> str:
+    """Return the crash digest of earlier builds: path, query and body."""
+    hashed = hashlib.blake2b(
+        call.target.encode(errors='surrogateescape'), digest_size=12
+    )
     hashed.update(call.body)
     return hashed.hexdigest()
--- a/balsamdale/server_health.py
+++ b/balsamdale/server_health.py
@@ -10,7 +10,6 @@
 from balsamdale import decisions
 from balsamdale import discovery
 from balsamdale import errors
-from balsamdale import quarantine
 from balsamdale import request_state
 
 __all__ = ['ServerHealth']
@@ -171,23 +170,28 @@
 
     async def _check_crash(self, state, server):
         """Report a crash if a server died with a request in flight."""
-        # A failure that no other entry confirms may be this entry's own.
-        if await self._context.paths.check(server) != 'unreachable':
-            return
-        # All requests that fail at one incarnation of a server count as one
-        # crash, wherever they are reported.
-        crash_id = f'{server.server_id}@{server.started_ms}'
-        report = quarantine.ReportCrash(
-            crash_id, request_state.digest(state.call)
-        )
-        self._context.quarantine.report(report.digest, crash_id)
-        self._context.report_crash(report)
+        reports = self._context.crash_reports
+        digest, earlier_digest = state.crash_digests()
+        with reports.checking(digest) as check:
+            # A failure that no other entry confirms may be this entry's own.
+            if await self._context.paths.check(server) != 'unreachable':
+                return
         decisions.record(
             'server_crashed',
             id=state.call.request_id,
             server=server.server_id,
-            digest=report.digest,
+            digest=digest,
+            is_refuted=check.has_run,
         )
+        if not check.has_run:
+            # All requests that fail at one incarnation of a server count as
+            # one crash, wherever they are reported.
+            reports.report(
+                digest,
+                earlier_digest,
+                f'{server.server_id}@{server.started_ms}',
+                state.call.workspace,
+            )
 
     async def finds_path(self, server: discovery.Server) -> bool:
         """Return whether another entry reaches a server that failed.
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -128,13 +128,9 @@
                 'no_route', 404, 'no route matches this host and path'
             )
         workspace = api_keys.find_workspace(call, table, route)
-        if self._context.quarantine.is_quarantined(request_state.digest(call)):
-            raise errors.Refused(
-                'quarantined', 503, 'this request has crashed backend servers'
-            )
         hash_value = zlib.crc32((call.program_id or call.request_id).encode())
         workspace_name = workspace.name if workspace is not None else ''
-        return request_state.RequestState(
+        state = request_state.RequestState(
             call=dataclasses.replace(call, workspace=workspace_name),
             route=route,
             service=table.service(route.choose_service(hash_value)),
@@ -149,6 +145,24 @@
             is_first_turn=route.stores_turns and not call.parent_id,
             record_ids=request_state.record_ids(call, table, workspace),
         )
+        self._check_quarantine(state)
+        return state
+
+    def _check_quarantine(self, state):
+        """Refuse a request that has crashed backend servers."""
+        context = self._context
+        if context.crash_reports.is_idle:
+            return
+        digest, earlier_digest = state.crash_digests()
+        if context.quarantine.is_quarantined(
+            digest, context.clock(), earlier_digest
+        ):
+            decisions.record(
+                'quarantine_refused', id=state.call.request_id, digest=digest
+            )
+            raise errors.Refused(
+                'quarantined', 503, 'this request has crashed backend servers'
+            )
 
     async def _acquire_unit(self, state):
         """Count a request towards the quota of its workspace.
--- a/harness/measure/policies.py
+++ b/harness/measure/policies.py
@@ -154,7 +154,7 @@
         self.grants_renewed_at_s = 0.0
 
     def submit(self, run, now_s):
-        if self.quarantine.is_quarantined(run.program):
+        if self.quarantine.is_quarantined(run.program, now_s):
             return [Refuse(run, 'quarantined', 0.0)]
         dispatcher = self._choose_dispatcher(run, now_s)
         if dispatcher is None:
@@ -202,7 +202,7 @@
 
     def on_request_failed(self, run, engine, now_s):
         self.runs_by_grant_id.pop(run.grant_id, None)
-        self.quarantine.report(run.program, f'{engine.name}@{now_s}')
+        self.quarantine.report(run.program, f'{engine.name}@{now_s}', now_s)
         self._finish_grant(run, engine, 0, now_s)
 
     def on_program_ended(self, program, now_s):
@@ -303,7 +303,7 @@
             prompt_tokens=run.call.prompt_tokens,
             answer_tokens=run.expected_answer,
             wait_s=1e9,
-            suspect=self.quarantine.is_suspected(run.program),
+            suspect=self.quarantine.is_suspected(run.program, now_s),
         )
 
     def _build_refusal(self, rejected):
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -14,6 +14,7 @@
 from balsamdale import background
 from balsamdale import codec
 from balsamdale import configuration
+from balsamdale import crash_reports
 from balsamdale import errors
 from balsamdale import events
 from balsamdale import history
@@ -385,7 +386,16 @@
 @mutation
 def quarantine_off():
     """A request that crashes servers is never quarantined."""
-    quarantine.Quarantine.is_quarantined = lambda self, digest: False
+    quarantine.Quarantine.is_quarantined = lambda self, *request: False
+
+
+@mutation
+def suspects_never_cleared():
+    """A suspected request that ran to its end stays suspected."""
+    quarantine.Quarantine.refute = lambda self, digest: False
+    crash_reports.Check.has_run = property(
+        lambda self: False, lambda self, value: None
+    )
 
 
 @mutation
