Fix restarted entries that forget which requests crash servers

An entry that starts now asks up to six others, until one that has itself asked has replied. It serves meanwhile: a start takes no longer. Earlier builds reply that they do not know the message and are not waited for.

--- a/balsamdale/crash_reports.py
+++ b/balsamdale/crash_reports.py
@@ -6,19 +6,52 @@
 import asyncio
 from collections import abc as collections_abc
 import contextlib
+import random
 
+from balsamdale import codec
 from balsamdale import decisions
+from balsamdale import errors
 from balsamdale import link
 from balsamdale import members
 from balsamdale import metrics
 from balsamdale import peer_news
 from balsamdale import quarantine
 
-__all__ = ['Check', 'CrashReports']
+__all__ = ['Check', 'CrashRecords', 'CrashReports', 'PullCrashRecords']
 
+# Records that one message carries at most.
+MAX_RECORDS = 500
+PULL_TIMEOUT_S = 0.4
 EXPIRY_INTERVAL_S = 60.0
 
 
+@codec.message
+class PullCrashRecords:
+    """Asks a peer which requests are suspected or quarantined.
+
+    Attributes:
+        after: digest after which the reply begins; empty for the first.
+    """
+
+    after: str = ''
+
+
+@codec.message
+class CrashRecords:
+    """Reply to `PullCrashRecords`.
+
+    Attributes:
+        records: records in the order of their digests.
+        has_more: whether there are more behind them.
+        is_informed: whether the peer has itself asked others since it
+            started.
+    """
+
+    records: tuple[quarantine.CrashRecord, ...]
+    has_more: bool
+    is_informed: bool
+
+
 class Check:
     """A check whether a server died with a request in flight.
 
@@ -30,14 +63,15 @@
     has_run = False
 
 
-class CrashReports:
-    """Tells other entries of crashes.
+class CrashReports(peer_news.Topic):
+    """Tells other entries of crashes, and learns of theirs.
 
     Args:
         links: connections to peers.
         peers: returns the ids of the other entries.
         crashes: what this entry knows.
         clock: returns the present time in seconds.
+        generator: source of the choice between peers.
 
     Attributes:
         news: carries them.
@@ -49,16 +83,19 @@
         peers: collections_abc.Callable[[], list[str]],
         crashes: quarantine.Quarantine,
         clock: collections_abc.Callable[[], float],
+        generator: random.Random,
     ):
+        self._links = links
         self._crashes = crashes
         self._clock = clock
-        self.news = peer_news.PeerNews(links, peers)
+        self.news = peer_news.PeerNews(links, peers, self, clock, generator)
         # Checks under way, by the digest of the request.
         self._checks: dict[str, set[Check]] = {}
         self._reported = self._ignored = 0
         links.serve(quarantine.ReportCrash, self._on_earlier_report)
         links.serve(quarantine.ReportedCrashes, self._on_report)
         links.serve(quarantine.RequestsHarmless, self._on_harmless)
+        links.serve(PullCrashRecords, self._on_pull)
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
         """Return the gauges by name."""
@@ -144,11 +181,33 @@
             self.news.tell(quarantine.RequestsHarmless(refuted))
 
     async def run(self) -> None:
-        """Forget what is too old."""
+        """Learn what other entries know, and forget what is too old."""
+        await self.news.learn()
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             self._crashes.expire(self._clock())
 
+    async def pull(self, peer_id: str) -> bool:
+        records = []
+        has_more = True
+        while has_more and len(records) < quarantine.RECORD_LIMIT:
+            reply = await self._links.request(
+                peer_id,
+                PullCrashRecords(records[-1].digest if records else ''),
+                PULL_TIMEOUT_S,
+            )
+            if not isinstance(reply, CrashRecords):
+                raise errors.UnknownMessage(type(reply).__name__)
+            records += reply.records
+            has_more = reply.has_more and bool(reply.records)
+        for record in records:
+            self._merge(record)
+        if records:
+            decisions.record(
+                'crashes_learned', peer=peer_id, count=len(records)
+            )
+        return reply.is_informed
+
     def _merge(self, record):
         if not record.is_valid():
             self._ignored += 1
@@ -182,3 +241,15 @@
         for digest in message.digests:
             self._refute(digest)
         yield members.Heard()
+
+    async def _on_pull(self, _sender, message):
+        page = [
+            record
+            for record in self._crashes.records(self._clock())
+            if record.digest > message.after
+        ]
+        yield CrashRecords(
+            tuple(page[:MAX_RECORDS]),
+            len(page) > MAX_RECORDS,
+            self.news.is_informed,
+        )
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -89,6 +89,7 @@
             self.member_directory.entry_peers,
             self.quarantine,
             clocks.monotonic,
+            random.Random(settings.instance_id),
         )
         self.reports_ignored = 0
         self.quota_client = quota.QuotaClient(
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -1,6 +1,7 @@
 """Entries that tell each other of crashes, on links in memory."""
 
 import asyncio
+import random
 
 from balsamdale import crash_reports
 from balsamdale import link
@@ -34,6 +35,7 @@
             lambda: [n for n in fleet.names if n != name],
             self.crashes,
             asyncio.get_running_loop().time,
+            random.Random(name),
         )
         self.running = asyncio.create_task(self.reports.run())
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -25,6 +25,7 @@
 from balsamdale import mirror
 from balsamdale import owner
 from balsamdale import ownership
+from balsamdale import peer_news
 from balsamdale import program
 from balsamdale import quarantine
 from balsamdale import quorum
@@ -398,6 +399,16 @@
     )
 
 
+@mutation
+def crashes_never_learned():
+    """An entry that starts does not ask what others know of crashes."""
+
+    async def learn_nothing(self):
+        return
+
+    peer_news.PeerNews.learn = learn_nothing
+
+
 @mutation
 def suspects_together():
     """Requests from one crash may share a server again."""
--- a/tests/proofs/test_quarantine.py
+++ b/tests/proofs/test_quarantine.py
@@ -1,7 +1,7 @@
 """Point 5 on entries: who is refused after servers have crashed.
 
-At each crash requests that are harmless share the server with one that is
-not.
+Entries start again between crashes. At each of them requests that are harmless
+share the server with one that is not.
 """
 
 import asyncio
@@ -38,7 +38,7 @@
         return self.fleet.entries[self._random.choice(NAMES)]
 
     async def step(self):
-        await asyncio.sleep(SETTLE_S)
+        await self.disturb()
         entry = self.any_entry()
         if not entry.is_held(POISON, f'old {POISON}'):
             await self.crash(entry)
@@ -46,6 +46,12 @@
             if self.any_entry().is_held(digest, f'old {digest}'):
                 self.refused.append(digest)
 
+    async def disturb(self):
+        name = self._random.choice(NAMES)
+        if self._random.random() < 0.4:
+            self.fleet.start(name)
+        await asyncio.sleep(SETTLE_S)
+
     async def crash(self, entry):
         self.crashes += 1
         number = self.crashes
@@ -65,7 +71,7 @@
         await asyncio.sleep(0.1)
 
 
-@pytest.mark.point(5, 'suspects_never_cleared')
+@pytest.mark.point(5, 'suspects_never_cleared', 'crashes_never_learned')
 def test_only_the_request_that_crashes_servers_is_quarantined(seeds):
     async def main(seed):
         world = World(seed)
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -3,7 +3,9 @@
 import asyncio
 
 from balsamdale import codec
+from balsamdale import crash_reports
 from balsamdale import link
+from balsamdale import peer_news
 from balsamdale import quarantine
 from tests import crash_world
 from tests import virtual
@@ -30,6 +32,80 @@
     run(scenario)
 
 
+def test_restarted_entries_know_what_is_quarantined():
+    """After a rolling restart the request crashed three more servers."""
+
+    async def scenario():
+        fleet = crash_world.Fleet('a', 'b', 'c')
+        await asyncio.sleep(2.0)
+        for number in range(LIMIT):
+            fleet.entries['a'].crash(number)
+        await asyncio.sleep(0.1)
+        for name in ('a', 'b', 'c', 'a', 'd'):
+            fleet.start(name)
+            await asyncio.sleep(0.1)
+            assert fleet.entries[name].is_held(), name
+
+    run(scenario)
+
+
+def test_entries_that_start_together_learn_from_the_one_that_stayed():
+    async def scenario():
+        names = [f'e{number}' for number in range(7)]
+        fleet = crash_world.Fleet(*names)
+        await asyncio.sleep(2.0)
+        for number in range(LIMIT):
+            fleet.entries['e0'].crash(number)
+        await asyncio.sleep(0.1)
+        for name in names[1:]:
+            fleet.start(name)
+        await asyncio.sleep(2.0)
+        assert all(e.is_held() for e in fleet.entries.values())
+
+    run(scenario)
+
+
+def test_entry_that_is_cut_as_it_starts_learns_once_it_is_back():
+    async def scenario():
+        fleet = crash_world.Fleet('a', 'b')
+        await asyncio.sleep(2.0)
+        for number in range(LIMIT):
+            fleet.entries['a'].crash(number)
+        fleet.cut('c', 'ab')
+        entry = fleet.start('c')
+        await asyncio.sleep(10.0)
+        assert not entry.is_held()
+        assert not entry.reports.news.is_informed
+        fleet.network.cuts.clear()
+        await asyncio.sleep(4.0)
+        assert entry.is_held()
+        assert entry.reports.news.is_informed
+
+    run(scenario)
+
+
+def test_entry_without_peers_stops_asking():
+    async def scenario():
+        entry = crash_world.Fleet('a').entries['a']
+        await asyncio.sleep(peer_news.ALONE_AFTER_S + 1.0)
+        assert entry.reports.news.is_informed
+
+    run(scenario)
+
+
+def test_more_records_than_one_message_carries_are_learned():
+    async def scenario():
+        fleet = crash_world.Fleet('a')
+        count = 2 * crash_reports.MAX_RECORDS + 7
+        for number in range(count):
+            fleet.entries['a'].crash(1, f'd{number}')
+        entry = fleet.start('b')
+        await asyncio.sleep(1.0)
+        assert len(entry.crashes) == count
+
+    run(scenario)
+
+
 def test_earlier_builds_are_told_in_their_own_message():
     async def scenario():
         fleet = crash_world.Fleet('a', 'b')
@@ -62,6 +138,17 @@
     run(scenario)
 
 
+def test_entry_among_earlier_builds_does_not_ask_for_ever():
+    async def scenario():
+        fleet = crash_world.Fleet()
+        fleet.add_earlier('old')
+        entry = fleet.start('a')
+        await asyncio.sleep(1.0)
+        assert entry.reports.news.is_informed
+
+    run(scenario)
+
+
 def test_run_at_one_entry_clears_a_request_at_all():
     async def scenario():
         fleet = crash_world.Fleet('a', 'b', 'c')
--- a/tests/test_crashed_servers.py
+++ b/tests/test_crashed_servers.py
@@ -1,5 +1,7 @@
 """Tests of requests that are in flight as servers crash."""
 
+import pytest
+
 from tests import routed_site
 
 CRASHES = 3
@@ -118,6 +120,37 @@
     routed_site.run(tmp_path, scenario)
 
 
+@pytest.mark.parametrize('name', ('entry-a', 'entry-b'))
+def test_restarted_entry_refuses_what_the_others_refuse(tmp_path, name):
+    """Each restarted entry let the request crash three more servers."""
+
+    async def scenario(deployment):
+        await quarantine(deployment)
+        entry = deployment.nodes[name]
+        addresses = {
+            field: getattr(entry.settings, field)
+            for field in (
+                'entry_address',
+                'ready_address',
+                'registry_address',
+                'link_address',
+            )
+        }
+        await deployment.stop(name)
+        entry = await deployment.start(name, 'entry', **addresses)
+        await deployment.wait_until(
+            lambda: deployment.is_up() and entry.crash_reports.news.is_informed
+        )
+        for _ in range(5):
+            status, _, _ = await deployment.post(
+                '/alerts/x', b'poison', entry=name
+            )
+            assert status == 503
+        assert (await deployment.post('/alerts/x', b'sound'))[0] == 200
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_quarantine_of_one_workspace_does_not_reach_another(tmp_path):
     """The same request of every caller was refused."""
 
