Fix reports of crashes that a cut entry misses for good

An entry that was cut off while a request crashed three servers would let it crash up to three more.

Now a peer that did not reply is told everything, with its age, once it does, at intervals of 0.5 to 8 s while it is a member.

test_report_that_was_lost_is_told_once_the_peer_is_reached and the proof are red without it (crashes_told_once); shown on entries in memory, not with real processes.

--- a/balsamdale/crash_reports.py
+++ b/balsamdale/crash_reports.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections import abc as collections_abc
 import contextlib
+import itertools
 import random
 
 from balsamdale import codec
@@ -208,6 +209,11 @@
             )
         return reply.is_informed
 
+    def known(self) -> collections_abc.Iterator[object]:
+        records = self._crashes.records(self._clock())
+        while page := tuple(itertools.islice(records, MAX_RECORDS)):
+            yield quarantine.ReportedCrashes(page)
+
     def _merge(self, record):
         if not record.is_valid():
             self._ignored += 1
--- a/balsamdale/peer_news.py
+++ b/balsamdale/peer_news.py
@@ -22,6 +22,9 @@
 ASK_INTERVAL_S = 0.5
 # An entry that knows of no peer for so long has none.
 ALONE_AFTER_S = 30.0
+# Pauses between attempts to reach a peer that has missed something.
+FIRST_RETRY_S = 0.5
+MAX_RETRY_S = 8.0
 # What a message fails with at a peer of an earlier build.
 NOT_UNDERSTOOD = (errors.RemoteError, errors.UnknownMessage)
 
@@ -41,6 +44,10 @@
             LinkError: the peer did not reply, or is of an earlier build.
         """
 
+    @abc.abstractmethod
+    def known(self) -> collections_abc.Iterator[object]:
+        """Yield messages that tell a peer all that is known here."""
+
 
 class PeerNews:
     """Tells other entries the news of one topic, and learns of theirs.
@@ -70,6 +77,8 @@
         self._clock = clock
         self._generator = generator
         self._background = background.BackgroundTasks('news')
+        # Peers that have missed something.
+        self._behind: set[str] = set()
         self.is_informed = False
 
     def tell(self, message: object, earlier_message: object = None) -> None:
@@ -124,3 +133,29 @@
                 await self._tell(name, earlier_message, None)
         except errors.LinkError as error:
             decisions.record('report_lost', peer=name, reason=str(error))
+            if name not in self._behind:
+                self._behind.add(name)
+                self._background.spawn(self._catch_up(name))
+
+    async def _catch_up(self, name):
+        """Tell a peer all that is known, once it can be reached again."""
+        interval_s = FIRST_RETRY_S
+        try:
+            while True:
+                await asyncio.sleep(interval_s)
+                if name not in self._peers() or await self._tell_known(name):
+                    return
+                interval_s = min(MAX_RETRY_S, 2 * interval_s)
+        finally:
+            self._behind.discard(name)
+
+    async def _tell_known(self, name):
+        """Tell a peer all that is known; return whether it was reached."""
+        try:
+            for message in self._topic.known():
+                await self._links.request(name, message)
+        except NOT_UNDERSTOOD:
+            return True
+        except errors.LinkError:
+            return False
+        return True
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -409,6 +409,16 @@
     peer_news.PeerNews.learn = learn_nothing
 
 
+@mutation
+def crashes_told_once():
+    """A report of a crash that was lost is not told again."""
+
+    async def give_up(self, name):
+        return
+
+    peer_news.PeerNews._catch_up = give_up
+
+
 @mutation
 def suspects_together():
     """Requests from one crash may share a server again."""
--- a/tests/proofs/test_quarantine.py
+++ b/tests/proofs/test_quarantine.py
@@ -1,7 +1,7 @@
 """Point 5 on entries: who is refused after servers have crashed.
 
-Entries start again between crashes. At each of them requests that are harmless
-share the server with one that is not.
+Entries start again, or are cut off for a while, between crashes. At each of
+them requests that are harmless share the server with one that is not.
 """
 
 import asyncio
@@ -50,8 +50,21 @@
         name = self._random.choice(NAMES)
         if self._random.random() < 0.4:
             self.fleet.start(name)
+        elif self._random.random() < 0.4:
+            self.fleet.cut(name, set(NAMES) - {name})
+            await self.crash_of_harmless(name)
+            await asyncio.sleep(1.0)
+            self.fleet.network.cuts.clear()
         await asyncio.sleep(SETTLE_S)
 
+    async def crash_of_harmless(self, cut_name):
+        """Have a server crash beside requests while an entry is cut off."""
+        entry = self.fleet.entries[
+            self._random.choice([n for n in NAMES if n != cut_name])
+        ]
+        if not entry.is_held(POISON, f'old {POISON}'):
+            await self.crash(entry)
+
     async def crash(self, entry):
         self.crashes += 1
         number = self.crashes
@@ -71,7 +84,9 @@
         await asyncio.sleep(0.1)
 
 
-@pytest.mark.point(5, 'suspects_never_cleared', 'crashes_never_learned')
+@pytest.mark.point(
+    5, 'suspects_never_cleared', 'crashes_never_learned', 'crashes_told_once'
+)
 def test_only_the_request_that_crashes_servers_is_quarantined(seeds):
     async def main(seed):
         world = World(seed)
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -106,6 +106,38 @@
     run(scenario)
 
 
+def test_report_that_was_lost_is_told_once_the_peer_is_reached():
+    """A cut entry would have let the request crash three more servers."""
+
+    async def scenario():
+        fleet = crash_world.Fleet('a', 'b')
+        await asyncio.sleep(2.0)
+        fleet.cut('b', 'a')
+        for number in range(LIMIT):
+            fleet.entries['a'].crash(number)
+            await asyncio.sleep(3.0)
+        assert not fleet.entries['b'].is_held()
+        fleet.network.cuts.clear()
+        await asyncio.sleep(2 * peer_news.MAX_RETRY_S)
+        assert fleet.entries['b'].is_held()
+
+    run(scenario)
+
+
+def test_peer_that_has_left_is_not_told_any_more():
+    async def scenario():
+        fleet = crash_world.Fleet('a', 'b')
+        await asyncio.sleep(2.0)
+        fleet.cut('b', 'a')
+        fleet.entries['a'].crash(1)
+        await asyncio.sleep(3.0)
+        fleet.names.remove('b')
+        await asyncio.sleep(2 * peer_news.MAX_RETRY_S)
+        assert not fleet.entries['a'].reports.news._behind
+
+    run(scenario)
+
+
 def test_earlier_builds_are_told_in_their_own_message():
     async def scenario():
         fleet = crash_world.Fleet('a', 'b')
