Fix evidence of one workspace that pushes out that against another

An entry remembers 10,000 requests that were in flight at crashes, and dropped the oldest first. A workspace whose requests were many displaced the evidence against another's, so that a quarantined request crashed servers again.

Now the workspace with the most loses its own oldest, what is only suspected first. test_workspace_cannot_push_out_... and test_suspected_requests_are_... fail on the commit before.

--- a/balsamdale/quarantine.py
+++ b/balsamdale/quarantine.py
@@ -132,6 +132,8 @@
         self._crash_limit = crash_limit
         self._record_limit = record_limit
         self._records: dict[str, _Record] = {}
+        # Digests of each workspace, those of the oldest crashes first.
+        self._digests: dict[str | None, dict[str, None]] = {}
         self.refuted = 0
         self.evicted = 0
 
@@ -295,7 +297,7 @@
         return record
 
     def _keep(self, digest, record):
-        """Keep a record, as the latest one."""
+        """Keep a record, as the latest one of its workspace."""
         if digest in self._records:
             self._remove(digest)
         record.forgotten_at_s = record.latest_s + SUSPICION_S
@@ -305,17 +307,27 @@
                 record.quarantines - 1
             )
         self._records[digest] = record
+        self._digests.setdefault(record.workspace, {})[digest] = None
         if len(self._records) > self._record_limit:
             self._evict()
 
     def _evict(self):
-        """Drop the record of the oldest crash."""
-        oldest = next(iter(self._records))
+        """Drop a record of the workspace that has the most."""
+        digests = max(self._digests.values(), key=len)
+        # What is only suspected goes before what is quarantined.
+        oldest = next(
+            (d for d in digests if not self._records[d].quarantines),
+            next(iter(digests)),
+        )
         self._remove(oldest)
         self.evicted += 1
 
     def _remove(self, digest):
-        del self._records[digest]
+        record = self._records.pop(digest)
+        digests = self._digests[record.workspace]
+        del digests[digest]
+        if not digests:
+            del self._digests[record.workspace]
 
 
 def _quarantine_s(earlier_quarantines):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -81,6 +81,26 @@
     assert not len(crashes)
 
 
+def test_workspace_cannot_push_out_the_evidence_against_another():
+    """10,000 digests of one caller made an entry forget all others."""
+    crashes = create(record_limit=10)
+    crash(crashes, 'poison', workspace='a')
+    for number in range(100):
+        crash(crashes, f'b{number}', count=1, workspace='b')
+    assert len(crashes) == 10
+    assert crashes.is_quarantined('poison', 0.0)
+    assert crashes.is_suspected('b99', 0.0)
+    assert crashes.evicted == 91
+
+
+def test_suspected_requests_are_forgotten_before_quarantined_ones():
+    crashes = create(record_limit=10)
+    crash(crashes, 'poison', workspace='a')
+    for number in range(100):
+        crash(crashes, f'a{number}', count=1, workspace='a')
+    assert crashes.is_quarantined('poison', 0.0)
+
+
 def test_crashes_told_by_earlier_builds_count_with_those_of_this_one():
     crashes = create()
     crash(crashes, 'new', count=2)
