--- a/balsamdale/request_framing.py
+++ b/balsamdale/request_framing.py
@@ -9,21 +9,17 @@
 import dataclasses
 import re
 
+from balsamdale import chunked_coding
 from balsamdale import errors
 
 __all__ = ['Body', 'Head', 'Part', 'RequestFraming']
 
-# Data of a body, and lines of its framing, that one part has at most.
-MAX_PART_BYTES = 16384
-MAX_PART_LINES = 1024
-# Bytes of framing that a chunk may have for each byte of data. What exceeds
-# this in a body may be as large as a head. A chunk of one byte has 3 bytes, or
-# 18 with leading zeros up to the digits below.
-MAX_FRAMING_PER_BYTE = 32
-MAX_SIZE_DIGITS = 16
+# Data of a body that one part has at most.
+MAX_PART_BYTES = chunked_coding.MAX_PART_BYTES
 
 CHUNK_SIZE = re.compile(
-    rb'([0-9A-Fa-f]{1,%d})(?:[ \t]*;[^\r\n]*)?\r\n' % MAX_SIZE_DIGITS
+    rb'([0-9A-Fa-f]{1,%d})(?:[ \t]*;[^\r\n]*)?\r\n'
+    % chunked_coding.MAX_SIZE_DIGITS
 )
 BAD_REQUEST = 400
 HEAD_TOO_LARGE = 431
@@ -81,7 +77,7 @@
         self._empty_line_bytes = 0
         # What has not arrived of a body of known length.
         self._due_bytes = 0
-        self._chunks: _Chunks | None = None
+        self._chunks: chunked_coding.Chunks | None = None
         self._trailers_left_bytes = 0
         self._take_part = self._take_head
 
@@ -123,7 +119,9 @@
 
     def expect_chunks(self) -> None:
         """Expect a body in chunks behind the head that was just taken."""
-        self._chunks = _Chunks(self.header_bytes)
+        self._chunks = chunked_coding.Chunks(
+            self.header_bytes, CHUNK_SIZE, _malformed_body
+        )
         self._begin_body(self._take_chunks)
 
     def next_part(self) -> Part | None:
@@ -202,8 +200,9 @@
         return Body(data, is_last)
 
     def _take_chunks(self):
-        part, used_bytes = self._chunks.read(self._input)
-        self._take(used_bytes)
+        chunks = self._chunks.read(self._input)
+        self._take(chunks.used_bytes)
+        part = Body(chunks.data, False, chunks.count)
         if self._chunks.are_over:
             self._chunks = None
             self._trailers_left_bytes = self.header_bytes
@@ -242,72 +241,5 @@
         return data
 
 
-class _Chunks:
-    """What is read of a body in chunks.
-
-    Args:
-        line_bytes: limit on the size of a chunk with its extensions.
-
-    Attributes:
-        are_over: whether the last chunk has been read.
-    """
-
-    def __init__(self, line_bytes):
-        self.are_over = False
-        self._line_bytes = line_bytes
-        # Data that is due of the present chunk.
-        self._due_bytes = 0
-        self._is_line_end_due = False
-        self._framing_left_bytes = line_bytes
-
-    def read(self, received):
-        """Return a part of the body, and how many bytes it has used."""
-        pieces = []
-        data_bytes = chunk_count = position = 0
-        while chunk_count < MAX_PART_LINES and data_bytes < MAX_PART_BYTES:
-            if self._due_bytes:
-                piece = received[position : position + self._due_bytes]
-                pieces.append(piece)
-                data_bytes += len(piece)
-                position += len(piece)
-                self._due_bytes -= len(piece)
-                if self._due_bytes:
-                    break
-                self._is_line_end_due = True
-            if self._is_line_end_due:
-                if len(received) < position + 2:
-                    break
-                if received[position : position + 2] != b'\r\n':
-                    raise errors.RequestMalformed(BAD_REQUEST, 'a long chunk')
-                position += 2
-                self._is_line_end_due = False
-            size = CHUNK_SIZE.match(received, position)
-            if size is None:
-                self._check_incomplete_line(received, position)
-                break
-            position = size.end()
-            chunk_count += 1
-            self._begin_chunk(int(size[1], 16), size.end() - size.start())
-            if self.are_over:
-                break
-        return Body(b''.join(pieces), False, chunk_count), position
-
-    def _begin_chunk(self, size_bytes, line_bytes):
-        if line_bytes > self._line_bytes:
-            raise errors.RequestMalformed(BAD_REQUEST, 'a long extension')
-        self._due_bytes = size_bytes
-        self.are_over = not size_bytes
-        # Large chunks do not allow more framing for those behind them.
-        allowed_bytes = min(size_bytes * MAX_FRAMING_PER_BYTE, line_bytes)
-        self._framing_left_bytes += allowed_bytes - line_bytes
-        if self._framing_left_bytes < 0:
-            raise errors.RequestMalformed(
-                BAD_REQUEST, 'more extensions than data'
-            )
-
-    def _check_incomplete_line(self, received, position):
-        size_bytes = len(received) - position
-        if received.find(b'\n', position) >= 0:
-            raise errors.RequestMalformed(BAD_REQUEST, 'no size of a chunk')
-        if size_bytes > self._line_bytes:
-            raise errors.RequestMalformed(BAD_REQUEST, 'a long extension')
+def _malformed_body(reason):
+    return errors.RequestMalformed(BAD_REQUEST, reason)
