Fix bytes that are no response and were passed on as one

Sound responses got 502: equal lengths listed twice, `chunked,`, extensions with spaces, HTTP/1.2, a whole response with more bytes behind it.

Cause: aiohttp's parser is lenient with responses, and nothing behind it asked whether there was one. Now each connection of an HTTP client is read by response_framing, which takes what RFC 9110 and 9112 define and hands it on in one form. What is none is counted, logged and one whole 502, or a cut.

--- a/balsamdale/attempt_relay.py
+++ b/balsamdale/attempt_relay.py
@@ -239,5 +239,18 @@
 
 
 def _plain(headers):
-    """Return headers whose names are of a type that messages can carry."""
-    return tuple((str(name), value) for name, value in headers)
+    """Return headers that messages can carry.
+
+    Values with bytes that are no UTF-8 are left out.
+    """
+    return tuple(
+        (str(name), value) for name, value in headers if _is_plain(value)
+    )
+
+
+def _is_plain(value):
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/balsamdale/errors.py
+++ b/balsamdale/errors.py
@@ -273,6 +273,10 @@
         self.status = status
 
 
+class ResponseMalformed(BalsamdaleError):
+    """What a server sent is no response."""
+
+
 class Refused(BalsamdaleError):
     """A caller's request is refused.
 
--- a/balsamdale/exchange.py
+++ b/balsamdale/exchange.py
@@ -28,7 +28,6 @@
 # Longest idle time of a connection that is reused: shorter than the idle
 # timeouts of servers, which are set in whole seconds.
 IDLE_CONNECTION_S = 2.0
-HEADER_FIELD_LIMIT_BYTES = 32768
 # aiohttp pauses a connection at twice this much unread data; one call reads
 # at most the latter, so that a paused stream buffers up to 64 KB.
 READ_BUFFER_BYTES = 16384
@@ -75,7 +74,10 @@
     async def read(self):
         while True:
             message, payload = await super().read()
-            echoed = message.headers.get(self.id_header)
+            ids = set(message.headers.getall(self.id_header, (None,)))
+            if len(ids) > 1:
+                raise self.reject('more than one request id')
+            (echoed,) = ids
             if echoed == self.expected_id:
                 return message, payload
             if echoed is None and message.code >= 300:
@@ -323,8 +325,6 @@
                 cookie_jar=aiohttp.DummyCookieJar(),
                 trust_env=False,
                 read_bufsize=READ_BUFFER_BYTES,
-                max_field_size=HEADER_FIELD_LIMIT_BYTES,
-                max_line_size=HEADER_FIELD_LIMIT_BYTES,
                 timeout=aiohttp.ClientTimeout(
                     total=None, sock_connect=CONNECT_TIMEOUT_S
                 ),
--- a/balsamdale/http_connection.py
+++ b/balsamdale/http_connection.py
@@ -1,4 +1,7 @@
-"""Client sessions whose connections tell a whole response from a cut one.
+"""Client sessions whose connections tell a whole response from any other.
+
+What a server sends is read by `response_framing`, and only what is a response
+reaches aiohttp's parser.
 
 A body that has neither a length nor chunks ends with its connection. aiohttp
 ends it however the connection ends; here only a server that closes it in
@@ -15,15 +18,22 @@
 from aiohttp import client_proto
 from aiohttp import http_exceptions
 
+from balsamdale import decisions
+from balsamdale import errors
+from balsamdale import response_framing
+
 __all__ = [
     'CONNECTION_STATES',
     'FRAMINGS',
     'ClientResponse',
     'Connection',
+    'InvalidResponse',
     'Transfer',
+    'count_invalid',
     'create_session',
     'read_body',
     'read_lines',
+    'record_invalid',
 ]
 
 # What tells the end of a body: its length, its last chunk, or only the end of
@@ -53,6 +63,27 @@
     connection: str = 'open'
 
 
+class InvalidResponse(aiohttp.ClientPayloadError):
+    """What a server sent is no response."""
+
+
+class _Count:
+    """Counts responses of this process that were none."""
+
+    value = 0
+
+
+def count_invalid() -> int:
+    """Return how often servers have sent what is no response."""
+    return _Count.value
+
+
+def record_invalid(address: str, reason: str) -> None:
+    """Count and log what a server has sent in place of a response."""
+    _Count.value += 1
+    decisions.record('response_invalid', server=address, reason=reason)
+
+
 class Connection(client_proto.ResponseHandler):
     """A connection whose loss is not the end of a response.
 
@@ -68,17 +99,22 @@
     _body = None
     _is_awaiting_response = False
 
-    def set_response_params(self, **options):
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._response_framing = response_framing.ResponseFraming()
+
+    def set_response_params(self, *, skip_payload=False, **options):
         """Prepare for the response to a request that is about to be sent."""
         self._is_awaiting_response = True
-        super().set_response_params(**options)
+        self._response_framing.expect(has_body=not skip_payload)
+        super().set_response_params(skip_payload=skip_payload, **options)
 
     async def read(self):
-        """Return the next message, which may be an interim response."""
+        """Return the next message."""
         self._body = None
         self._is_awaiting_response = True
         message, payload = await super().read()
-        self._is_awaiting_response = message.code < 200
+        self._is_awaiting_response = False
         self.transfer = Transfer(_framing(message), self._state)
         return message, payload
 
@@ -87,32 +123,70 @@
         self._body = payload
         self._unused_bytes = 0
 
+    @property
+    def should_close(self):
+        """Whether no further request may be sent on it."""
+        return super().should_close or self._response_framing.held_bytes > 0
+
     def data_received(self, data):
+        if not data:
+            # aiohttp goes on with what it has held back.
+            super().data_received(data)
+            return
         body = self._body
         body_bytes = body.total_bytes if body is not None else 0
-        super().data_received(data)
-        if body is not None and body.total_bytes > body_bytes:
+        parts = []
+        reason = ''
+        try:
+            parts.extend(self._response_framing.receive(data))
+        except errors.ResponseMalformed as error:
+            # What came before is whole, and counts.
+            reason = str(error)
+        if parts:
+            super().data_received(b''.join(parts))
+        if reason:
+            self.reject(reason)
+        elif body is not None and body.total_bytes > body_bytes:
             self._unused_bytes = 0
-            return
-        self._unused_bytes += len(data)
+        else:
+            self._count_unused(len(data))
+
+    def _count_unused(self, size_bytes):
+        """Count bytes that have brought neither a head nor a body."""
+        self._unused_bytes += size_bytes
         if self._unused_bytes > MAX_UNUSED_BYTES:
-            self._reject('more than can be part of a response')
-        elif self._is_idle() and self._buffer:
+            self.reject('more than can be part of a response')
+        elif self._is_idle() and (
+            self._buffer or self._response_framing.held_bytes
+        ):
             # It would be taken for the response to the next request.
-            self._reject('a response that no request has asked for')
+            self.reject('a response that no request has asked for')
 
     def _is_idle(self):
         """Return whether no request waits for a response or its body."""
         is_body_read = self._payload is None or self._payload.is_eof()
         return is_body_read and not self._is_awaiting_response
 
-    def _reject(self, reason):
-        """End the connection; whoever waits for a response or body fails."""
-        error = aiohttp.ClientPayloadError(f'the server sent {reason}')
+    def reject(self, reason: str) -> InvalidResponse:
+        """End the connection; whoever waits for a response or body fails.
+
+        Args:
+            reason: what the server has sent in place of a response.
+
+        Returns:
+            The error that they get.
+        """
+        error = InvalidResponse(f'the server sent {reason}')
+        transport = self.transport
+        address = ('', 0)
+        if transport is not None:
+            address = transport.get_extra_info('peername') or address
+        record_invalid(f'{address[0]}:{address[1]}', reason)
         self.set_exception(error)
         self._fail_body(error)
-        if self.transport is not None:
-            self.transport.abort()
+        if transport is not None:
+            transport.abort()
+        return error
 
     def eof_received(self):
         self._is_closed_by_server = True
@@ -192,6 +266,13 @@
     connector._factory = functools.partial(
         connection_class, loop=asyncio.get_running_loop()
     )
+    # The parser's own limits must not be reached before those of the framing.
+    options = {
+        'max_line_size': response_framing.MAX_HEAD_BYTES,
+        'max_field_size': response_framing.MAX_HEAD_BYTES,
+        'max_headers': response_framing.MAX_FIELDS,
+        **options,
+    }
     session = aiohttp.ClientSession(
         connector=connector, response_class=ClientResponse, **options
     )
--- a/balsamdale/node.py
+++ b/balsamdale/node.py
@@ -16,6 +16,7 @@
 from balsamdale import errors
 from balsamdale import eviction
 from balsamdale import follower
+from balsamdale import http_connection
 from balsamdale import keyvalue
 from balsamdale import members
 from balsamdale import metrics
@@ -214,6 +215,10 @@
                 'Messages passed on for others',
                 lambda: self.relay.relayed_requests,
             ),
+            'responses_invalid': (
+                'Responses of servers that were none',
+                http_connection.count_invalid,
+            ),
             **self.gate.gauges(),
             'log_lines': ('Log lines written', decisions.count_lines),
             'log_lines_dropped': (
