Fix bodies in content codings that nobody asked for

Callers saw a 200 whose body was in gzip, br or any other coding although they had asked for none: it is not the body that the engine's answer stands for. Clients of the platform's store and of balsamdaled asked for gzip by the library's default, and took what came.

Now a body has no content coding but those that its request's Accept-Encoding names; anything else is no answer. Our own clients name `identity` and unpack nothing.

--- a/balsamdale/exchange.py
+++ b/balsamdale/exchange.py
@@ -321,7 +321,8 @@
                 connector,
                 protocol,
                 request_class=_Request,
-                auto_decompress=False,
+                # Callers say which codings they take.
+                headers=None,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 trust_env=False,
                 read_bufsize=READ_BUFFER_BYTES,
--- a/balsamdale/http_connection.py
+++ b/balsamdale/http_connection.py
@@ -46,6 +46,8 @@
 # of its body: heads of interim responses, late responses to other requests,
 # sizes and extensions of chunks.
 MAX_UNUSED_BYTES = 1_048_576
+# Sent by sessions whose users take bodies as they are.
+PLAIN_BODY_HEADERS = {'Accept-Encoding': 'identity'}
 # Longest body that is held in memory as a whole.
 MAX_BODY_BYTES = 16_777_216
 
@@ -245,6 +247,13 @@
         await super().start(connection)
         self.transfer = protocol.transfer
         protocol.use_body(self.content)
+        try:
+            response_framing.check_codings(
+                self.request_info.headers.getall('Accept-Encoding', ()),
+                self.headers.getall('Content-Encoding', ()),
+            )
+        except errors.ResponseMalformed as error:
+            raise protocol.reject(str(error)) from error
         return self
 
 
@@ -268,6 +277,8 @@
     )
     # The parser's own limits must not be reached before those of the framing.
     options = {
+        'headers': PLAIN_BODY_HEADERS,
+        'auto_decompress': False,
         'max_line_size': response_framing.MAX_HEAD_BYTES,
         'max_field_size': response_framing.MAX_HEAD_BYTES,
         'max_headers': response_framing.MAX_FIELDS,
--- a/balsamdale/response_framing.py
+++ b/balsamdale/response_framing.py
@@ -16,6 +16,7 @@
     'MAX_FIELDS',
     'MAX_HEAD_BYTES',
     'ResponseFraming',
+    'check_codings',
 ]
 
 MAX_HEAD_BYTES = 65536
@@ -51,7 +52,10 @@
     % (chunked_coding.MAX_SIZE_DIGITS, TOKEN, TOKEN, QUOTED)
 )
 SIMPLE_FRAMING = re.compile(rb' ?(?:[0-9]+|chunked)')
+NO_WEIGHT = re.compile(r'q[ \t]*=[ \t]*0(?:\.0*)?')
 CHUNKED = b'chunked'
+# No coding: a request may name it, a response does not (RFC 9110, 12.5.3).
+IDENTITY = 'identity'
 VERSIONS = (b'1.0', b'1.1')
 STATUSES = range(100, 600)
 INTERIM_STATUSES = range(100, 200)
@@ -227,6 +231,42 @@
         return data
 
 
+def check_codings(
+    asked: collections_abc.Iterable[str], sent: collections_abc.Iterable[str]
+) -> None:
+    """Check that a body has no content coding but those asked for.
+
+    A request that names none takes a body as it is.
+
+    Args:
+        asked: values of the request's `Accept-Encoding`.
+        sent: values of the response's `Content-Encoding`.
+
+    Raises:
+        ResponseMalformed: the body has another one.
+    """
+    codings = {coding for coding, _ in _list_elements(sent)}
+    if not codings:
+        return
+    accepted = {
+        coding
+        for coding, weight in _list_elements(asked)
+        if coding != IDENTITY and not NO_WEIGHT.fullmatch(weight)
+    }
+    if '*' not in accepted and not codings <= accepted:
+        raise errors.ResponseMalformed(
+            'a content coding that was not asked for'
+        )
+
+
+def _list_elements(values):
+    """Yield each element of a list in lower case, and its parameter."""
+    for element in ','.join(values).lower().split(','):
+        name, _, parameter = element.partition(';')
+        if name.strip(' \t'):
+            yield name.strip(' \t'), parameter.strip(' \t')
+
+
 def _read_framing(fields, is_http_1_0):
     """Return the length of a body, if any, and whether it is in chunks."""
     lengths, codings = [], []
--- a/tests/answer_table.py
+++ b/tests/answer_table.py
@@ -188,6 +188,8 @@
             head(f'Transfer-Encoding: {coding}', length='', body=whole),
         )
     yield _none('chunks in 1.0', chunked(whole, line='HTTP/1.0 200 OK'))
+    for coding in ('gzip', 'br', 'deflate', 'x', 'identity', 'gzip, identity'):
+        yield _none(f'content {coding!r}', head(f'Content-Encoding: {coding}'))
     for body in (
         b'2\nok\n0\n\n',
         b'-2\r\nok\r\n0\r\n\r\n',
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -170,6 +170,34 @@
     routed_site.run(tmp_path, scenario)
 
 
+@pytest.mark.parametrize(
+    ('asked', 'expected'),
+    (('gzip', 200), ('br;q=0.5, gzip', 200), ('*', 200), ('gzip;q=0', 502)),
+)
+def test_content_coding_that_the_caller_asked_for(tmp_path, asked, expected):
+    async def scenario(deployment):
+        async with serving(deployment) as server:
+            server.data = answer_table.head('Content-Encoding: x, gzip')
+            status, _ = await ask(
+                deployment, '/alerts/x', **{'Accept-Encoding': asked}
+            )
+            assert status == (200 if asked == '*' else 502)
+            server.data = answer_table.head('Content-Encoding: GZIP')
+            async with deployment.client.post(
+                f'http://{deployment.nodes["entry-a"].settings.entry_address}'
+                '/alerts/x',
+                headers={
+                    'Host': routed_site.HOST,
+                    'X-Request-Id': 'coded',
+                    'Accept-Encoding': asked,
+                },
+                auto_decompress=False,
+            ) as response:
+                assert response.status == expected
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_what_a_helper_reads_is_read_as_strictly(tmp_path):
     """Another entry sends the request where an entry has lost its path."""
 
--- a/tests/test_response_framing.py
+++ b/tests/test_response_framing.py
@@ -10,7 +10,7 @@
 
 SEAL = b'X-Server-Seal: s'
 # Decided by what the request asked for, not by the framing.
-ELSEWHERE = ("field 'X-Request-Id", 'body cut')
+ELSEWHERE = ('content ', "field 'X-Request-Id", 'body cut')
 PIECES = 30
 
 
