--- a/balsamdale/attempt_relay.py
+++ b/balsamdale/attempt_relay.py
@@ -15,6 +15,7 @@
 from balsamdale import exchange
 from balsamdale import http_connection
 from balsamdale import link
+from balsamdale import response_framing
 from balsamdale import wire
 
 __all__ = ['AttemptRelay', 'RelayAttempt']
@@ -149,6 +150,7 @@
         )
         async with contextlib.aclosing(replies):
             head = await _next_reply(replies, RelayedHead, server, helper_id)
+            _check_head(head, request, server, helper_id)
             transfer = http_connection.Transfer(head.framing)
             headers = multidict.CIMultiDict(head.headers)
             yield exchange.Response(
@@ -232,6 +234,29 @@
     return reply
 
 
+def _check_head(head, request, server, helper_id):
+    """Check a response that a helper, perhaps of an earlier build, has read.
+
+    Raises:
+        BackendFailed: it is none.
+    """
+    try:
+        response_framing.check_response(head.status, head.headers)
+        response_framing.check_codings(
+            _values(request.headers, 'accept-encoding'),
+            _values(head.headers, 'content-encoding'),
+        )
+    except errors.ResponseMalformed as error:
+        http_connection.record_invalid(server.address, str(error))
+        raise errors.BackendFailed(
+            server.server_id, 'unknown', f'sent by {helper_id}: {error}'
+        ) from error
+
+
+def _values(headers, name):
+    return [value for key, value in headers if key.lower() == name]
+
+
 def _failure(server, helper_id, detail):
     return errors.HelperFailed(
         server.server_id, 'unknown', f'sent by {helper_id}: {detail}'
--- a/balsamdale/response_framing.py
+++ b/balsamdale/response_framing.py
@@ -17,6 +17,7 @@
     'MAX_HEAD_BYTES',
     'ResponseFraming',
     'check_codings',
+    'check_response',
 ]
 
 MAX_HEAD_BYTES = 65536
@@ -38,6 +39,8 @@
 STATUS_LINE = re.compile(rb'HTTP/([0-9])\.([0-9]) ([0-9]{3}) ' + TEXT)
 HEAD = re.compile(STATUS_LINE.pattern + rb'\r\n((?:' + FIELD + rb'\r\n)*)\r\n')
 FIELD_LINE = re.compile(FIELD)
+NAME = re.compile(TOKEN)
+VALUE = re.compile(TEXT)
 FRAMING_FIELD = re.compile(
     rb'^(content-length|transfer-encoding):([^\r\n]*)\r\n',
     re.IGNORECASE | re.MULTILINE,
@@ -231,6 +234,27 @@
         return data
 
 
+def check_response(
+    status: int, headers: collections_abc.Iterable[tuple[str, str]]
+) -> None:
+    """Check a final response that was read by another instance.
+
+    Args:
+        status: its status.
+        headers: its fields.
+
+    Raises:
+        ResponseMalformed: it is none.
+    """
+    if status not in STATUSES or status in INTERIM_STATUSES:
+        raise errors.ResponseMalformed('a status that does not exist')
+    for name, value in headers:
+        if not NAME.fullmatch(_encode(name)) or not VALUE.fullmatch(
+            _encode(value)
+        ):
+            raise errors.ResponseMalformed('a malformed field')
+
+
 def check_codings(
     asked: collections_abc.Iterable[str], sent: collections_abc.Iterable[str]
 ) -> None:
@@ -310,3 +334,7 @@
     if STATUS_LINE.fullmatch(head[: head.index(LINE_END)]) is None:
         return 'a malformed status line'
     return 'a malformed field line'
+
+
+def _encode(text):
+    return text.encode(errors='surrogateescape')
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -10,6 +10,7 @@
 import aiohttp
 import pytest
 
+from balsamdale import attempt_relay
 from balsamdale import backend
 from balsamdale import declaration
 from balsamdale import errors
@@ -224,6 +225,41 @@
     routed_site.run(tmp_path, scenario)
 
 
+@pytest.mark.parametrize(
+    ('status', 'field'),
+    (
+        (0, ('X', 'y')),
+        (101, ('X', 'y')),
+        (600, ('X', 'y')),
+        (200, ('X Y', 'z')),
+        (200, ('X', 'a\x01b')),
+        (200, ('X', 'a\r\nb')),
+        (200, ('Content-Encoding', 'br')),
+    ),
+)
+def test_helper_of_an_earlier_build_is_not_believed(tmp_path, status, field):
+    """An earlier build passes on heads that are none."""
+
+    async def scenario(deployment):
+        helper = deployment.nodes['entry-b']
+
+        async def reply(_sender, _message):
+            seal = ('X-Server-Seal', 's')
+            yield attempt_relay.RelayedHead(status, (seal, field), 'length')
+            yield attempt_relay.RelayedPart(0, b'ok')
+            yield attempt_relay.RelayedEnd(1, 'open')
+
+        helper.links.serve(attempt_relay.RelayAttempt, reply)
+        entry = deployment.nodes['entry-a']
+        with test_cut_entries.cut_from_servers(entry, True):
+            before = http_connection.count_invalid()
+            status_seen, body = await ask(deployment, '/alerts/x')
+            assert (status_seen, body) == (502, b'')
+            assert http_connection.count_invalid() == before + 1
+
+    routed_site.run(tmp_path, scenario)
+
+
 async def read_store(address):
     client = store.PlatformKeyValue(address)
     try:
--- a/tests/test_response_framing.py
+++ b/tests/test_response_framing.py
@@ -176,3 +176,10 @@
         assert not list(framing.receive(b'y'))
     output = list(framing.receive(b'\r\nContent-Length: 0\r\n\r\n'))
     assert len(output) == 1
+
+
+@pytest.mark.parametrize('status', (-1, 0, 99, 100, 101, 199, 600, 9999))
+def test_status_that_does_not_exist_is_not_relayed(status):
+    with pytest.raises(errors.ResponseMalformed):
+        response_framing.check_response(status, ())
+    response_framing.check_response(299, (('X', 'caf\udce9\t'),))
