Fix replies of key-value services that are no replies to their call

A redirect was followed, with the call, to whatever address it named.

Now each call names the statuses that are replies to it, and no client follows redirects. test_redirect_is_not_followed and the store's row of test_what_is_no_answer_is_none_to_other_clients fail on the commit before.

--- a/balsamdale/backend.py
+++ b/balsamdale/backend.py
@@ -145,7 +145,11 @@
         )
         try:
             async with self._http_session().post(
-                url, json=body, headers=headers, timeout=timeout
+                url,
+                json=body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 _check_status(server.name, response.status)
                 async for delta in stream.read(response):
@@ -171,7 +175,11 @@
         )
         try:
             async with self._http_session().post(
-                url, json=body, headers=headers, timeout=timeout
+                url,
+                json=body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status >= 500:
                     _check_status(server.name, response.status)
@@ -223,7 +231,7 @@
         timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
         try:
             async with self._http_session().post(
-                url, json=body, timeout=timeout
+                url, json=body, timeout=timeout, allow_redirects=False
             ) as response:
                 response.raise_for_status()
         except (aiohttp.ClientError, TimeoutError) as error:
@@ -267,6 +275,7 @@
             url,
             params={'after': str(stream.chunk_count)},
             timeout=timeout,
+            allow_redirects=False,
             headers={'Connection': 'close'},
         ) as response:
             if response.status == 404:
--- a/balsamdale/keyvalue.py
+++ b/balsamdale/keyvalue.py
@@ -404,8 +404,12 @@
         timeout = aiohttp.ClientTimeout(total=None, connect=CALL_TIMEOUT_S)
         try:
             async with self._http_session().post(
-                url, json={'create_request': request}, timeout=timeout
+                url,
+                json={'create_request': request},
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
+                _check_status(response)
                 async for line in http_connection.read_lines(response):
                     for pair in _pairs_of_puts(line):
                         yield pair
@@ -444,14 +448,20 @@
         self.calls += 1
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with self._http_session().post(
-            url, json=body, timeout=timeout
+            url, json=body, timeout=timeout, allow_redirects=False
         ) as response:
-            response.raise_for_status()
+            _check_status(response)
             return _decode(
                 await http_connection.read_body(response), reply_type
             )
 
 
+def _check_status(response):
+    response.raise_for_status()
+    if response.status != 200:
+        raise aiohttp.ClientPayloadError(f'status {response.status}')
+
+
 def _encode_text(text):
     return _encode_bytes(text.encode())
 
--- a/balsamdale/platform/store.py
+++ b/balsamdale/platform/store.py
@@ -61,7 +61,9 @@
         self.calls = 0
 
     async def get(self, key: str) -> keyvalue.Pair | None:
-        status, body = await self._request('GET', '/kv-key', {'key': key})
+        status, body = await self._request(
+            'GET', '/kv-key', {'key': key}, expected=(200, 404)
+        )
         if status == 404:
             return None
         return _decode_pair(self._decode(body, _Item))
@@ -109,7 +111,11 @@
             'wait_ms': str(int(wait_s * 1000)),
         }
         status, body = await self._request(
-            'GET', '/kv-watch', query, timeout_s=wait_s + WATCH_SLACK_S
+            'GET',
+            '/kv-watch',
+            query,
+            timeout_s=wait_s + WATCH_SLACK_S,
+            expected=(200, 410),
         )
         if status == 410:
             raise errors.RevisionCompacted(
@@ -125,12 +131,16 @@
         return self._decode(content, _Done).lease
 
     async def renew_lease(self, lease: int) -> None:
-        status, _ = await self._request('POST', f'/kv-keep/{lease}')
+        status, _ = await self._request(
+            'POST', f'/kv-keep/{lease}', expected=(200, 404)
+        )
         if status == 404:
             raise errors.LeaseEnded(f'lease {lease} has ended')
 
     async def revoke_lease(self, lease: int) -> None:
-        await self._request('DELETE', f'/kv-lease-end/{lease}')
+        await self._request(
+            'DELETE', f'/kv-lease-end/{lease}', expected=(200, 404)
+        )
 
     async def close(self) -> None:
         if self._session is not None:
@@ -150,7 +160,11 @@
             expected = [{'key': key, 'rev': revision}]
         body = {'if_rev': expected, 'puts': [put], 'delete': []}
         status, content = await self._request(
-            'POST', '/kv-txn', body=body, is_write=True
+            'POST',
+            '/kv-txn',
+            body=body,
+            is_write=True,
+            expected=(200, 404, 412),
         )
         if status == 412:
             return 0
@@ -166,6 +180,7 @@
         body=None,
         timeout_s=CALL_TIMEOUT_S,
         is_write=False,
+        expected=(200,),
     ):
         """Make one call; return status and body of an expected response."""
         self.calls += 1
@@ -182,6 +197,7 @@
                 data=data,
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
+                allow_redirects=False,
             ) as response:
                 content = await http_connection.read_body(response)
         except aiohttp.ClientConnectorError as error:
@@ -193,7 +209,7 @@
             raise errors.KeyValueUnavailable(
                 f'{path} returned status {response.status}', False
             )
-        if response.status not in (200, 404, 410, 412):
+        if response.status not in expected:
             raise errors.KeyValueError(
                 f'{path} returned status {response.status}'
             )
--- a/balsamdale/porcelain.py
+++ b/balsamdale/porcelain.py
@@ -233,7 +233,12 @@
         aiohttp.TCPConnector(), timeout=timeout
     )
     try:
-        async with session, session.request(method, url, json=body) as reply:
+        async with (
+            session,
+            session.request(
+                method, url, json=body, allow_redirects=False
+            ) as reply,
+        ):
             content = await http_connection.read_body(reply)
             if reply.status >= 400:
                 raise _decode_refused(content)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -292,7 +292,7 @@
 # How each client is asked, what it takes for a whole reply of 2 bytes, and
 # with which statuses.
 CLIENTS = {
-    'store': (read_store, b'{}', (200, 404)),
+    'store': (read_store, b'{}', (200,)),
     'session': (read_session, b'ok', range(200, 600)),
     'tool': (read_tool, b'ok', range(200, 500)),
 }
@@ -325,6 +325,22 @@
     asyncio.run(asyncio.wait_for(scenario(), 60.0))
 
 
+def test_redirect_is_not_followed():
+    """A store that names another address must not have calls sent there."""
+
+    async def scenario():
+        async with ByteServer() as elsewhere, ByteServer() as server:
+            elsewhere.data = answer_table.head(body=b'{}')
+            server.data = answer_table.head(
+                f'Location: http://{elsewhere.address}/',
+                line='HTTP/1.1 307 Temporary Redirect',
+            )
+            with pytest.raises(errors.BalsamdaleError):
+                await read_store(server.address)
+
+    asyncio.run(asyncio.wait_for(scenario(), 10.0))
+
+
 @pytest.mark.parametrize('ends_s', (0.0, 0.02, 0.1))
 def test_answer_cut_beside_a_long_upload_is_not_whole(tmp_path, ends_s):
     """A 200 without length, sent in part, then a reset during the upload."""
