--- a/balsamdale/attempt_relay.py
+++ b/balsamdale/attempt_relay.py
@@ -184,8 +184,15 @@
                     _plain(response.headers.items()),
                     response.transfer.framing,
                 )
-                parts = 0
+                parts = body_bytes = 0
                 async for chunk in response.chunks():
+                    body_bytes += len(chunk)
+                    if body_bytes > http_connection.MAX_BODY_BYTES:
+                        raise errors.BackendFailed(
+                            message.server_id,
+                            'unknown',
+                            'the body is too long',
+                        )
                     yield RelayedPart(parts, chunk)
                     parts += 1
                 ended = RelayedEnd(parts, response.transfer.connection)
--- a/balsamdale/framed_link.py
+++ b/balsamdale/framed_link.py
@@ -20,9 +20,44 @@
 __all__ = ['Channel', 'FramedLinks']
 
 KEEPALIVE_INTERVAL_S = 0.4
+# Replies of one call that wait to be used: more than the longest body that a
+# peer relays.
+MAX_WAITING_BYTES = 20_971_520
+# Memory that a waiting reply takes beside its bytes.
+REPLY_OVERHEAD_BYTES = 256
 FRAME_HEADER = struct.Struct('<BQ')
 # A REQUEST gets any number of REPLY frames and an END; an ASK gets one ANSWER.
 REQUEST, REPLY, END, KEEPALIVE, FAILED, CANCEL, ASK, ANSWER = range(8)
+# Stands for replies that were dropped; never sent.
+OVERFLOW = -1
+
+
+class _Replies:
+    """Replies of one call that wait to be used."""
+
+    def __init__(self):
+        self._queue = asyncio.Queue()
+        self._waiting_bytes = 0
+        self._is_full = False
+
+    def put(self, frame_kind, payload):
+        """Add a frame, or drop all of them if there are too many."""
+        if self._is_full:
+            return
+        self._waiting_bytes += len(payload) + REPLY_OVERHEAD_BYTES
+        if self._waiting_bytes > MAX_WAITING_BYTES:
+            self._is_full = True
+            while not self._queue.empty():
+                self._queue.get_nowait()
+            frame_kind, payload = OVERFLOW, b''
+            self._waiting_bytes = REPLY_OVERHEAD_BYTES
+        self._queue.put_nowait((frame_kind, payload))
+
+    async def get(self):
+        """Return the next frame, its kind and its payload."""
+        frame_kind, payload = await self._queue.get()
+        self._waiting_bytes -= len(payload) + REPLY_OVERHEAD_BYTES
+        return frame_kind, payload
 
 
 class Channel(abc.ABC):
@@ -34,7 +69,7 @@
 
     def __init__(self):
         self._call_ids = itertools.count(1)
-        self._reply_queues: dict[int, asyncio.Queue] = {}
+        self._reply_queues: dict[int, _Replies] = {}
         self._answers: dict[int, asyncio.Future] = {}
         self.frames_read = 0
 
@@ -54,10 +89,10 @@
         self.send(call_id, FRAME_HEADER.pack(ASK, call_id) + payload)
         return call_id, answer
 
-    def start_stream(self, payload: bytes) -> tuple[int, asyncio.Queue]:
+    def start_stream(self, payload: bytes) -> tuple[int, _Replies]:
         """Send a message; return the call's number and its replies."""
         call_id = next(self._call_ids)
-        replies = asyncio.Queue()
+        replies = _Replies()
         self._reply_queues[call_id] = replies
         self.send(call_id, FRAME_HEADER.pack(REQUEST, call_id) + payload)
         return call_id, replies
@@ -76,14 +111,14 @@
             return
         self.frames_read += 1
         frame_kind, call_id = FRAME_HEADER.unpack_from(frame)
-        reply = frame_kind, frame[FRAME_HEADER.size :]
+        payload = frame[FRAME_HEADER.size :]
         answer = self._answers.get(call_id)
         if answer is None:
             replies = self._reply_queues.get(call_id)
             if replies is not None:
-                replies.put_nowait(reply)
+                replies.put(frame_kind, payload)
         elif not answer.done():
-            answer.set_result(reply)
+            answer.set_result((frame_kind, payload))
 
 
 class FramedLinks(link.Links):
@@ -171,6 +206,10 @@
                 )
                 if frame_kind == REPLY:
                     yield codec.decode(payload)
+                elif frame_kind == OVERFLOW:
+                    raise errors.ProtocolError(
+                        f'{peer_id} sent too many replies to {message_name}'
+                    )
                 elif frame_kind != KEEPALIVE:
                     must_cancel = False
                     break
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -214,3 +214,41 @@
             await links.close()
 
     asyncio.run(asyncio.wait_for(run(), 20.0))
+
+
+@pytest.mark.parametrize('implementation', ['zeromq', *IMPLEMENTATIONS])
+def test_replies_without_end_do_not_fill_memory(implementation, tmp_path):
+    """A peer that sent on while its replies were not used took all memory."""
+    part = b'x' * 65536
+    sent = []
+
+    async def send_on(_sender, _message):
+        while True:
+            sent.append(len(part))
+            yield messages.AnswerDelta(0, part.decode())
+            await asyncio.sleep(0)
+
+    async def main():
+        async with open_pair(implementation, tmp_path) as (caller, peer):
+            peer.serve(messages.FetchTurn, send_on)
+            replies = caller.stream('b', messages.FetchTurn('p', 1))
+            await anext(replies)
+            async with asyncio.timeout(20.0):
+                while sum(sent) < 2 * framed_link.MAX_WAITING_BYTES:
+                    await asyncio.sleep(0.01)
+            queues = [
+                queue
+                for channel in caller._channels.values()
+                for queue in channel._reply_queues.values()
+            ]
+            assert sum(q._waiting_bytes for q in queues) <= (
+                framed_link.MAX_WAITING_BYTES
+            )
+            with pytest.raises(errors.LinkError):
+                async for _ in replies:
+                    pass
+            count = len(sent)
+            await asyncio.sleep(0.2)
+            assert len(sent) < count + 50
+
+    asyncio.run(asyncio.wait_for(main(), 40.0))
