Fix restarted entries that send a request to each leaving server

An entry that started later, or missed the report, sent that server one more request and learned it from the response.

Now it asks as it starts, and is told again, by the same code as for crashes (peer_news). Both tests of test_leaving_reports fail without the question and without the repetition. test_node reads the count of ignored reports where it is kept now; the check is the same.

--- a/balsamdale/discovery.py
+++ b/balsamdale/discovery.py
@@ -150,6 +150,12 @@
         """Return how many registered servers are leaving."""
         return sum(map(self._is_leaving, self._servers.values()))
 
+    def leaving(self) -> collections_abc.Iterator[ReportLeaving]:
+        """Yield a report of each registered server that is leaving."""
+        for server in list(self._servers.values()):
+            if self._is_leaving(server):
+                yield ReportLeaving(server.server_id, server.started_ms)
+
     def is_current(self, server: Server) -> bool:
         """Return whether a server has not restarted since it was chosen."""
         registered = self._servers.get(server.server_id, server)
--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -12,6 +12,7 @@
 from balsamdale import errors
 from balsamdale import exchange
 from balsamdale import http_connection
+from balsamdale import leaving_reports
 from balsamdale import limit_client
 from balsamdale import limit_service
 from balsamdale import listener
@@ -91,7 +92,6 @@
             clocks.monotonic,
             random.Random(settings.instance_id),
         )
-        self.reports_ignored = 0
         self.quota_client = quota.QuotaClient(
             self.relay,
             self._limiter_names,
@@ -112,7 +112,13 @@
             settings.quota_bounds,
             is_standby=True,
         )
-        self.links.serve(discovery.ReportLeaving, self._on_leaving)
+        self.leaving_reports = leaving_reports.LeavingReports(
+            self.links,
+            self.member_directory.entry_peers,
+            self.directory,
+            clocks.monotonic,
+            random.Random(settings.instance_id),
+        )
         self.limit_client = limit_client.LimitClient(
             self.links,
             self.relay,
@@ -139,7 +145,7 @@
                 account_retention_s=settings.account_retention_s,
                 quarantine=self.quarantine,
                 crash_reports=self.crash_reports,
-                report_leaving=self._broadcast,
+                report_leaving=self.leaving_reports.news.tell,
                 record_latency=self.metrics.add_histogram(
                     'balsamdale_request_seconds',
                     'Time from a request to the end of its answer',
@@ -183,6 +189,7 @@
         self._background.spawn_loop(self._run_expiry)
         self._background.spawn_loop(self.quota_service.run)
         self._background.spawn_loop(self.crash_reports.run)
+        self._background.spawn_loop(self.leaving_reports.news.learn)
         await super().start()
 
     def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
@@ -213,7 +220,7 @@
             ),
             'leaving_reports_ignored': (
                 'Reports of leaving servers that were out of range',
-                lambda: self.reports_ignored,
+                lambda: self.leaving_reports.ignored,
             ),
             'servers_ejected': (
                 'Servers ejected for their failures',
@@ -298,6 +305,7 @@
         work |= {
             'quota_client': self.quota_client.close,
             'crash_reports': self.crash_reports.news.close,
+            'leaving_reports': self.leaving_reports.news.close,
             'limit_client': self.limit_client.close,
             'limit_service': self.limit_service.close,
             'server_paths': self.server_paths.close,
@@ -320,29 +328,6 @@
     def _limiter_names(self):
         return quota_service.limiter_names(self.member_directory)
 
-    def _broadcast(self, report):
-        for peer_id in self.member_directory.entry_peers():
-            self._background.spawn(self._send_report(peer_id, report))
-
-    async def _send_report(self, peer_id, message):
-        try:
-            await self.links.request(peer_id, message)
-        except errors.LinkError as error:
-            decisions.record('report_lost', peer=peer_id, reason=str(error))
-
-    async def _on_leaving(self, _sender, message):
-        # Not passed on: whoever learned it from the server told all entries.
-        if message.is_valid():
-            self.directory.mark_leaving(message.server_id, message.started_ms)
-        else:
-            self.reports_ignored += 1
-            decisions.record(
-                'leaving_report_ignored',
-                server=message.server_id[:80],
-                count=self.reports_ignored,
-            )
-        yield members.Heard()
-
     def _addresses(self, failure_domain):
         entries = self.member_directory.entries()
         if self.member_directory.is_leaving:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -656,7 +656,7 @@
             report = discovery.ReportLeaving('plain-1', started_ms)
             await entries[1].links.request('entry-a', report)
         assert len(entries[0].directory.ready('plain')) == 2
-        assert entries[0].reports_ignored == 1
+        assert entries[0].leaving_reports.ignored == 1
         # A refusal, after which the request is sent elsewhere, says it too.
         leaving.switches.is_leaving, leaving.switches.refuse = True, 1
         while leaving.switches.refuse:
