--- a/balsamdale/chunked_coding.py
+++ b/balsamdale/chunked_coding.py
@@ -63,6 +63,11 @@
         self._is_line_end_due = False
         self._framing_left_bytes = line_bytes
 
+    @property
+    def is_between_chunks(self) -> bool:
+        """Whether the next byte is the first one of a chunk's size."""
+        return not (self._due_bytes or self._is_line_end_due)
+
     def read(self, received: bytearray) -> Part:
         """Return the next part of the body.
 
--- a/balsamdale/response_framing.py
+++ b/balsamdale/response_framing.py
@@ -54,6 +54,8 @@
     rb'([0-9A-Fa-f]{1,%d})(?:[ \t]*;[ \t]*%s(?:[ \t]*=[ \t]*(?:%s|%s))?)*\r\n'
     % (chunked_coding.MAX_SIZE_DIGITS, TOKEN, TOKEN, QUOTED)
 )
+# The size of a chunk that is not the last one, without extensions.
+WHOLE_CHUNK = re.compile(rb'(?!0)([0-9A-Fa-f]{1,8})\r\n')
 SIMPLE_FRAMING = re.compile(rb' ?(?:[0-9]+|chunked)')
 NO_WEIGHT = re.compile(r'q[ \t]*=[ \t]*0(?:\.0*)?')
 CHUNKED = b'chunked'
@@ -90,11 +92,6 @@
         """Bytes that were received and not handed on."""
         return len(self._input)
 
-    @property
-    def is_between_responses(self) -> bool:
-        """Whether nothing of a response has arrived that is not whole."""
-        return self._take_part == self._take_head and not self._input
-
     def expect(self, has_body: bool) -> None:
         """Expect the response to a request that is about to be sent.
 
@@ -110,15 +107,26 @@
             ResponseMalformed: what was received is no response from here on;
                 nothing more can be read.
         """
-        if self._input or self._take_part != self._take_until_close:
-            self._input += data
-        else:
+        if not self._input and self._is_canonical(data):
             yield data
             return
+        self._input += data
         while (part := self._take_part()) is not None:
             if part:
                 yield part
 
+    def _is_canonical(self, data):
+        """Return whether data of a body can be handed on as it is."""
+        if self._chunks is None:
+            return self._take_part == self._take_until_close
+        size = WHOLE_CHUNK.match(data)
+        return (
+            size is not None
+            and self._chunks.is_between_chunks
+            and size.end() + int(size[1], 16) + 2 == len(data)
+            and data.endswith(LINE_END)
+        )
+
     def _take_head(self):
         if not self._input:
             return None
