Fix restarted entries that ask half a second after they know their peers

A trial with real processes (a request that crashes engines, sent to each entry the moment it is ready again after a rolling restart) showed one more retry at an engine: the first question came when no peer was known yet, and the next 0.5 s later. Now an entry asks as soon as it knows a peer.

test_entry_asks_as_soon_as_it_knows_a_peer fails before.

--- a/balsamdale/peer_news.py
+++ b/balsamdale/peer_news.py
@@ -20,6 +20,8 @@
 # Peers that an entry asks when it starts.
 MAX_ASKED = 6
 ASK_INTERVAL_S = 0.5
+# Requests come as soon as an entry knows its peers.
+PEERS_CHECK_INTERVAL_S = 0.02
 # An entry that knows of no peer for so long has none.
 ALONE_AFTER_S = 30.0
 # Pauses between attempts to reach a peer that has missed something.
@@ -99,9 +101,9 @@
     async def learn(self) -> None:
         """Ask peers until one has told all that it knows."""
         ends_at_s = self._clock() + ALONE_AFTER_S
-        while not await self._ask_peers():
-            if not self._peers() and self._clock() >= ends_at_s:
-                break
+        while not self._peers() and self._clock() < ends_at_s:
+            await asyncio.sleep(PEERS_CHECK_INTERVAL_S)
+        while self._peers() and not await self._ask_peers():
             await asyncio.sleep(ASK_INTERVAL_S)
         self.is_informed = True
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -84,6 +84,24 @@
     run(scenario)
 
 
+def test_entry_asks_as_soon_as_it_knows_a_peer():
+    """For half a second it let the request crash servers again."""
+
+    async def scenario():
+        fleet = crash_world.Fleet('a')
+        for number in range(LIMIT):
+            fleet.entries['a'].crash(number)
+        fleet.names.remove('a')
+        entry = fleet.start('b')
+        await asyncio.sleep(0.37)
+        assert not entry.is_held()
+        fleet.names.append('a')
+        await asyncio.sleep(0.05)
+        assert entry.is_held()
+
+    run(scenario)
+
+
 def test_entry_without_peers_stops_asking():
     async def scenario():
         entry = crash_world.Fleet('a').entries['a']
