Fix entries that were taken for dead and miss which requests crash servers

A trial with real processes, an entry suspended for 6 s while a request crashed three engines: after it went on, the entry let the request crash three more (3 later retries). It had been evicted, so that the others neither told it nor tried again.

Now an entry asks others again after a pause of its process and when its registration is lost or replaced, and a lost report is repeated whether or not the peer is a member, every 2 s for up to 600 s.

--- a/balsamdale/entry_node.py
+++ b/balsamdale/entry_node.py
@@ -5,6 +5,7 @@
 import random
 
 from balsamdale import adapter
+from balsamdale import codec
 from balsamdale import crash_reports
 from balsamdale import decisions
 from balsamdale import discovery
@@ -167,6 +168,10 @@
         self.mirror.add_listener(
             platform_adapter.route_table_key, self._table_changed
         )
+        self.mirror.add_listener(
+            members.registration_key(settings.instance_id),
+            self._registration_changed,
+        )
         self.mirror.add_listener(
             platform_adapter.server_prefix, self._server_changed
         )
@@ -201,6 +206,7 @@
             **self.limit_service.gauges(),
             **self.server_paths.gauges(),
             **self.crash_reports.gauges(),
+            **self.leaving_reports.gauges(),
             **self._response_gauges(),
             'requests_in_flight': (
                 'Requests of callers',
@@ -218,10 +224,6 @@
                 'Load reports that were malformed or out of range',
                 lambda: self.balancer.reports_ignored,
             ),
-            'leaving_reports_ignored': (
-                'Reports of leaving servers that were out of range',
-                lambda: self.leaving_reports.ignored,
-            ),
             'servers_ejected': (
                 'Servers ejected for their failures',
                 self.balancer.outliers.count_ejected,
@@ -230,10 +232,6 @@
                 'Retries that the retry budget did not allow',
                 lambda: self.handler.attempts.retry_budget.withheld,
             ),
-            'servers_leaving': (
-                'Registered servers that are leaving',
-                self.directory.count_leaving,
-            ),
             'held_bytes': (
                 'Bodies, prompts, responses and output of requests',
                 lambda: self.listener.budget.held_bytes,
@@ -356,6 +354,16 @@
             routes=len(table.routes),
         )
 
+    def _registration_changed(self, _key, value):
+        """Learn what was missed while others took this instance for dead."""
+        if value != codec.encode(self.member()):
+            self._learn_again()
+
+    def _learn_again(self):
+        if not self.member_directory.is_leaving:
+            self.crash_reports.news.learn_again()
+            self.leaving_reports.news.learn_again()
+
     def _server_changed(self, key, value):
         server_id = key.removeprefix(self.adapter.server_prefix)
         now_s = self.clocks.monotonic()
@@ -381,6 +389,7 @@
             await asyncio.sleep(EXPIRY_CHECK_INTERVAL_S)
             if paused_s := self.pauses.tick(_loop_time_s()):
                 decisions.record('paused', length_s=round(paused_s, 3))
+                self._learn_again()
             self.directory.expire(self.clocks.monotonic())
             registered = {s.server_id for s in self.directory}
             self.balancer.remove_departed(registered)
--- a/balsamdale/leaving_reports.py
+++ b/balsamdale/leaving_reports.py
@@ -13,6 +13,7 @@
 from balsamdale import errors
 from balsamdale import link
 from balsamdale import members
+from balsamdale import metrics
 from balsamdale import peer_news
 
 __all__ = ['LeavingReports', 'LeavingServers', 'PullLeavingServers']
@@ -69,6 +70,19 @@
         links.serve(discovery.ReportLeaving, self._on_leaving)
         links.serve(PullLeavingServers, self._on_pull)
 
+    def gauges(self) -> dict[str, tuple[str, metrics.ReadGauge]]:
+        """Return the gauges by name."""
+        return {
+            'servers_leaving': (
+                'Registered servers that are leaving',
+                self._directory.count_leaving,
+            ),
+            'leaving_reports_ignored': (
+                'Reports of leaving servers that were out of range',
+                lambda: self.ignored,
+            ),
+        }
+
     async def pull(self, peer_id: str) -> bool:
         reply = await self._links.request(
             peer_id, PullLeavingServers(), PULL_TIMEOUT_S
--- a/balsamdale/peer_news.py
+++ b/balsamdale/peer_news.py
@@ -26,7 +26,10 @@
 ALONE_AFTER_S = 30.0
 # Pauses between attempts to reach a peer that has missed something.
 FIRST_RETRY_S = 0.5
-MAX_RETRY_S = 8.0
+MAX_RETRY_S = 2.0
+# A peer that is silent for so long is gone. One that is cut off is taken for
+# dead earlier, and comes back as it was.
+GIVE_UP_S = 600.0
 # What a message fails with at a peer of an earlier build.
 NOT_UNDERSTOOD = (errors.RemoteError, errors.UnknownMessage)
 
@@ -98,6 +101,10 @@
         """Cancel messages in flight."""
         self._background.cancel()
 
+    def learn_again(self) -> None:
+        """Ask peers what was missed, as in a pause of this process."""
+        self._background.spawn(self.learn())
+
     async def learn(self) -> None:
         """Ask peers until one has told all that it knows."""
         ends_at_s = self._clock() + ALONE_AFTER_S
@@ -142,10 +149,11 @@
     async def _catch_up(self, name):
         """Tell a peer all that is known, once it can be reached again."""
         interval_s = FIRST_RETRY_S
+        ends_at_s = self._clock() + GIVE_UP_S
         try:
-            while True:
+            while self._clock() < ends_at_s:
                 await asyncio.sleep(interval_s)
-                if name not in self._peers() or await self._tell_known(name):
+                if await self._tell_known(name):
                     return
                 interval_s = min(MAX_RETRY_S, 2 * interval_s)
         finally:
--- a/tests/proofs/test_quarantine.py
+++ b/tests/proofs/test_quarantine.py
@@ -52,9 +52,15 @@
             self.fleet.start(name)
         elif self._random.random() < 0.4:
             self.fleet.cut(name, set(NAMES) - {name})
+            if self._random.random() < 0.5:
+                # It is taken for dead, and comes back as it was.
+                self.fleet.names.remove(name)
             await self.crash_of_harmless(name)
             await asyncio.sleep(1.0)
             self.fleet.network.cuts.clear()
+            if name not in self.fleet.names:
+                self.fleet.names[:] = NAMES
+                self.fleet.entries[name].reports.news.learn_again()
         await asyncio.sleep(SETTLE_S)
 
     async def crash_of_harmless(self, cut_name):
--- a/tests/test_crashed_servers.py
+++ b/tests/test_crashed_servers.py
@@ -1,7 +1,11 @@
 """Tests of requests that are in flight as servers crash."""
 
+import asyncio
+
 import pytest
 
+from balsamdale import codec
+from balsamdale import members
 from tests import routed_site
 
 CRASHES = 3
@@ -151,6 +155,51 @@
     routed_site.run(tmp_path, scenario)
 
 
+@pytest.mark.parametrize('is_evicted', (True, False))
+def test_entry_that_was_taken_for_dead_learns_what_it_missed(
+    tmp_path, is_evicted
+):
+    """Nobody tells an instance that is not among the members."""
+
+    async def scenario(deployment):
+        known = deployment.nodes['entry-a'].quarantine
+        entry = deployment.nodes['entry-b']
+        await deployment.wait_until(
+            lambda: entry.crash_reports.news.is_informed
+        )
+        for number in range(CRASHES):
+            known.report('d', f's@{number}', entry.clocks.monotonic())
+        key = members.registration_key('entry-b')
+        if is_evicted:
+            deployment.store.write(key, codec.encode(members.Evicted('x')))
+        else:
+            deployment.store.remove(key)
+        await deployment.wait_until(
+            lambda: entry.quarantine.is_suspected('d', 0.0)
+        )
+
+    routed_site.run(tmp_path, scenario)
+
+
+def test_entry_that_was_suspended_learns_what_it_missed(tmp_path):
+    """A suspended entry let the request crash three more servers."""
+
+    async def scenario(deployment):
+        known = deployment.nodes['entry-a'].quarantine
+        entry = deployment.nodes['entry-b']
+        await deployment.wait_until(
+            lambda: entry.crash_reports.news.is_informed
+        )
+        for number in range(CRASHES):
+            known.report('d', f's@{number}', entry.clocks.monotonic())
+        entry.pauses.start(asyncio.get_running_loop().time() - 5.0)
+        await deployment.wait_until(
+            lambda: entry.quarantine.is_suspected('d', 0.0)
+        )
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_quarantine_of_one_workspace_does_not_reach_another(tmp_path):
     """The same request of every caller was refused."""
 
