--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -233,17 +233,13 @@
             peer.serve(messages.FetchTurn, send_on)
             replies = caller.stream('b', messages.FetchTurn('p', 1))
             await anext(replies)
-            async with asyncio.timeout(20.0):
-                while sum(sent) < 2 * framed_link.MAX_WAITING_BYTES:
-                    await asyncio.sleep(0.01)
-            queues = [
-                queue
-                for channel in caller._channels.values()
-                for queue in channel._reply_queues.values()
-            ]
-            assert sum(q._waiting_bytes for q in queues) <= (
-                framed_link.MAX_WAITING_BYTES
-            )
+            (channel,) = caller._channels.values()
+            (queue,) = channel._reply_queues.values()
+            # Frames may be dropped on the way, so what was sent tells little.
+            while not queue._is_full:
+                assert queue._waiting_bytes <= framed_link.MAX_WAITING_BYTES
+                await asyncio.sleep(0.001)
+            assert queue._waiting_bytes <= framed_link.MAX_WAITING_BYTES
             with pytest.raises(errors.LinkError):
                 async for _ in replies:
                     pass
