--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,9 +1,9 @@
-"""Turns are denied after an archive was killed once and another removed."""
+"""Turns are denied after archives restarted and one was removed."""
 
 import asyncio
 import pathlib
 
-from review.kit_3 import servers
+from review.kit_3 import turns
 from review.kit_3 import world as worlds
 
 # Programs that begin while one archive is down.
@@ -13,68 +13,6 @@
 RESTART_DELAY_S = 0.9
 KEEP_S = 60.0
 CATCH_UP_S = 4.8
-INPUT_BYTES = 17000
-CONFIGURATION = {
-    'version': 3,
-    'routes': [
-        {
-            'name': 'dialogue',
-            'host': worlds.HOST,
-            'path_prefix': '/turns/',
-            'kind': 'streaming',
-            'timeout_ms': 4000,
-            'slo_ms': 250,
-            'priority': 0,
-            'service': 'model',
-            'attempts': 2,
-            'retain_context': True,
-            'keep_s': KEEP_S,
-            'gap_aim_ms': 250,
-            'sticky': True,
-        }
-    ],
-    'services': [
-        {
-            'name': 'model',
-            'max_conns': 250,
-            'engine': {
-                'tokens_per_event': 1,
-                'slots': 32,
-                'kv_capacity': 850995,
-            },
-        }
-    ],
-    'limits': {
-        'max_header_bytes': 16384,
-        'max_body_bytes': 4194304,
-        'header_timeout_ms': 3000,
-        'idle_timeout_ms': 15000,
-    },
-}
-
-
-def text_of(request_id):
-    return (request_id.encode() + b' ') * (INPUT_BYTES // 17)
-
-
-async def send_turn(world, entry, number, turn, previous):
-    request_id = f'{number:08x}{turn:08x}'
-    headers = {
-        'X_Program_Id': f'p{number:05x}',
-        'X_Session_Id': f's{number:05x}',
-        'X_Finish_Ms': 90000,
-        'X_Token_Budget': 4000,
-        'X_Token_Usage': '4250,100',
-        'X_Model': 'm',
-        'X_Prompt_Prefix': f'a0:4000,{number:08x}:250',
-        'X_Deadline_Ms': 4000,
-    }
-    if previous:
-        headers['X_Previous_Turn'] = previous
-    answer = await world.send(
-        entry, '/turns/x', request_id, text_of(request_id), **headers
-    )
-    return request_id, answer
 
 
 async def begin_programs(world, group, killed, has_trouble):
@@ -83,7 +21,7 @@
         world.kill(killed)
     numbers = range(group * PROGRAMS, (group + 1) * PROGRAMS)
     first = await asyncio.gather(
-        *(send_turn(world, 'edge-a-1', n, 1, '') for n in numbers)
+        *(turns.send_turn(world, 'edge-a-1', n, 1, '') for n in numbers)
     )
     await asyncio.sleep(RESTART_DELAY_S)
     if has_trouble:
@@ -97,13 +35,8 @@
 
 
 async def case(world, has_trouble):
-    world.configure(CONFIGURATION)
-    engines = []
-    for number, zone in enumerate('abc'):
-        engine = servers.ModelServer(f'i-{number}', world)
-        address = await world.serve(engine.app())
-        world.register(engine.server_id, 'model', address, zone, slots=32)
-        engines.append(engine)
+    world.configure(turns.configuration(KEEP_S))
+    await turns.start_models(world)
     for zone in 'abc':
         world.add_machine(f'edge-{zone}-1', 'entry', zone)
         world.add_machine(f'storage-{zone}-1', 'archive', zone)
@@ -138,7 +71,7 @@
     await asyncio.sleep(CATCH_UP_S)
     second = await asyncio.gather(
         *(
-            send_turn(world, entry, number, turn, previous)
+            turns.send_turn(world, entry, number, turn, previous)
             for number, previous in whole
             for turn, entry in ((2, 'edge-b-1'), (3, 'edge-c-1'))
         )
