--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""Turns are denied after archives restarted and one was removed."""
+"""A conversation is denied after each archive has restarted once."""
 
 import asyncio
 import pathlib
@@ -6,37 +6,18 @@
 from review.kit_3 import turns
 from review.kit_3 import world as worlds
 
-# Programs that begin while one archive is down.
-PROGRAMS = 32
-KILLED = ('storage-a-1', 'storage-b-1', 'storage-a-2')
-# From the last answer on; with the turns it is less than 2.8 s.
-RESTART_DELAY_S = 0.9
-KEEP_S = 60.0
-CATCH_UP_S = 4.8
-
-
-async def begin_programs(world, group, killed, has_trouble):
-    """Begin programs while an archive restarts; return whole turns."""
-    if has_trouble:
-        world.kill(killed)
-    numbers = range(group * PROGRAMS, (group + 1) * PROGRAMS)
-    first = await asyncio.gather(
-        *(turns.send_turn(world, 'edge-a-1', n, 1, '') for n in numbers)
-    )
-    await asyncio.sleep(RESTART_DELAY_S)
-    if has_trouble:
-        world.start(killed)
-    await asyncio.sleep(CATCH_UP_S + 1.5)
-    return [
-        (number, request_id)
-        for number, (request_id, answer) in zip(numbers, first, strict=True)
-        if answer.status == 200 and answer.is_whole
-    ]
+KEEP_S = 30.0
+# Duration of the first turn.
+LONG_TURN_S = 3.0
+# Times of the turns after the archives have started.
+FIRST_S, SECOND_S, THIRD_S, LAST_S = 17.0, 36.0, 58.0, 85.0
+# From the end of a turn until the killed archive starts again.
+RESTART_DELAY_S = 1.0
 
 
 async def case(world, has_trouble):
     world.configure(turns.configuration(KEEP_S))
-    await turns.start_models(world)
+    models = await turns.start_models(world)
     for zone in 'abc':
         world.add_machine(f'edge-{zone}-1', 'entry', zone)
         world.add_machine(f'storage-{zone}-1', 'archive', zone)
@@ -45,50 +26,52 @@
     for zone in 'abc':
         await world.wait_until_ready(f'edge-{zone}-1')
     await world.wait_for('archives', lambda: len(world.folders()) == 3)
-    # A store machine is added.
-    world.add_machine('storage-a-2', 'archive', 'a', False)
-    world.start('storage-a-2')
-    await world.wait_for('archives', lambda: len(world.folders()) == 4)
-    await asyncio.sleep(CATCH_UP_S)
+    began_s = world.now_s()
 
-    whole = []
-    answered_s = world.now_s()
-    for group, killed in enumerate(KILLED):
-        whole += await begin_programs(world, group, killed, has_trouble)
-    world.log(f'{len(whole)} first turns answered whole')
-    if len(whole) < len(KILLED) * PROGRAMS // 2:
-        raise worlds.CaseFailed('too few first turns were answered')
-    if len(world.folders()) != 4:
-        raise worlds.CaseFailed('a killed archive was given up')
+    async def wait_until(time_s):
+        await asyncio.sleep(began_s + time_s - world.now_s())
 
-    if has_trouble:
-        # It is removed for good; no other machine is lost from here on.
-        world.kill('storage-c-1')
-        await world.wait_for(
-            'the removed archive is given up',
-            lambda: 'storage-c-1' not in world.folders(),
-        )
-    await asyncio.sleep(CATCH_UP_S)
-    second = await asyncio.gather(
-        *(
-            turns.send_turn(world, entry, number, turn, previous)
-            for number, previous in whole
-            for turn, entry in ((2, 'edge-b-1'), (3, 'edge-c-1'))
+    answered_s = {}
+
+    async def converse(turn, previous, killed, killed_after_s=0.0):
+        """Send a turn, and kill an archive before it is stored."""
+        sending = asyncio.create_task(
+            turns.send_turn(world, 'edge-a-1', 1, turn, previous)
         )
-    )
-    if world.now_s() - answered_s > KEEP_S:
-        raise worlds.CaseFailed('the turns are too old')
-    broken = [
-        f'LOST: {request_id}: {answer.status}, though {request_id[:8]}'
-        f'00000001 was answered whole less than {KEEP_S:.0f} s before'
-        for request_id, answer in second
-        if answer.status in (404, 410)
-    ]
-    counts = {}
-    for _, answer in second:
-        counts[answer.status] = counts.get(answer.status, 0) + 1
-    world.log(f'second turns by status: {counts}')
-    return broken
+        if killed_after_s:
+            await asyncio.sleep(killed_after_s)
+        if has_trouble:
+            world.kill(killed)
+        request_id, answer = await sending
+        answered_s[request_id] = world.now_s()
+        await asyncio.sleep(RESTART_DELAY_S)
+        if has_trouble:
+            world.start(killed)
+        if answer.status != 200 or not answer.is_whole:
+            raise worlds.CaseFailed(f'turn {turn} was not answered whole')
+        return request_id
+
+    await wait_until(FIRST_S)
+    for model in models:
+        model.gap_s = LONG_TURN_S / model.events
+    first = await converse(1, '', 'storage-c-1', LONG_TURN_S - 0.5)
+    for model in models:
+        model.gap_s = 0.01
+    await wait_until(SECOND_S)
+    second = await converse(2, first, 'storage-b-1')
+    await wait_until(THIRD_S)
+    third = await converse(3, second, 'storage-a-1')
+    await wait_until(LAST_S)
+    request_id, answer = await turns.send_turn(world, 'edge-b-1', 1, 4, third)
+    age_s = world.now_s() - answered_s[third]
+    if age_s > KEEP_S:
+        raise worlds.CaseFailed('the last turn came too late')
+    if answer.status in (404, 410):
+        return [
+            f'LOST: {request_id}: {answer.status}, though {third} was '
+            f'answered whole {age_s:.1f} s before, of {KEEP_S:.0f} s'
+        ]
+    return []
 
 
 worlds.main(case, pathlib.Path(__file__).parent)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -30,6 +30,11 @@
     for zone in 'abc':
         await world.wait_until_ready(f'edge-{zone}-1')
     await world.wait_for('archives', lambda: len(world.folders()) == 3)
+    # Another program, so that the entry is connected to all archives.
+    _, answer = await turns.send_turn(world, 'edge-a-1', 0, 1, '')
+    if answer.status != 200:
+        raise worlds.CaseFailed('the system does not serve')
+    await asyncio.sleep(2.0)
     began_s = world.now_s()
     tokens = 0
     previous = ''
@@ -51,7 +56,7 @@
             if answer.status == 402:
                 break
             if answer.status != 200 or not answer.is_whole:
-                raise worlds.CaseFailed(f'{request_id}: {answer.status}')
+                raise worlds.CaseFailed(f"{request_id}: {answer.status}")
             previous = request_id
         await asyncio.sleep(RESTART_DELAY_S)
         if has_trouble:
--- a/review/kit_3/turns.py
+++ b/review/kit_3/turns.py
@@ -1,11 +1,15 @@
 """Turns of a program, as a client sends them, and their route."""
 
+import asyncio
+
 from review.kit_3 import servers
 from review.kit_3 import world as worlds
 
 __all__ = ['configuration', 'input_of', 'send_turn', 'start_models']
 
 INPUT_BYTES = 17000
+# Attempts of a turn that is refused.
+ATTEMPTS = 4
 
 
 def configuration(keep_s):
@@ -66,21 +70,29 @@
 
 
 async def send_turn(world, entry, number, turn, previous, budget=4000):
-    """Send a turn of a program; return its id and the answer."""
-    request_id = f'{number:08x}{turn:08x}'
-    headers = {
-        'X_Program_Id': f'p{number:05x}',
-        'X_Session_Id': f's{number:05x}',
-        'X_Finish_Ms': 90000,
-        'X_Token_Budget': budget,
-        'X_Token_Usage': '4250,100',
-        'X_Model': 'm',
-        'X_Prompt_Prefix': f'a0:4000,{number:08x}:250',
-        'X_Deadline_Ms': 4000,
-    }
-    if previous:
-        headers['X_Previous_Turn'] = previous
-    answer = await world.send(
-        entry, '/turns/x', request_id, input_of(request_id), **headers
-    )
+    """Send a turn of a program, again while it is refused by a 503.
+
+    Returns:
+        The id of the last attempt, and its answer.
+    """
+    for attempt in range(ATTEMPTS):
+        request_id = f'{number:08x}{turn:04x}{attempt:04x}'
+        headers = {
+            'X_Program_Id': f'p{number:05x}',
+            'X_Session_Id': f's{number:05x}',
+            'X_Finish_Ms': 90000,
+            'X_Token_Budget': budget,
+            'X_Token_Usage': '4250,100',
+            'X_Model': 'm',
+            'X_Prompt_Prefix': f'a0:4000,{number:08x}:250',
+            'X_Deadline_Ms': 4000,
+        }
+        if previous:
+            headers['X_Previous_Turn'] = previous
+        answer = await world.send(
+            entry, '/turns/x', request_id, input_of(request_id), **headers
+        )
+        if answer.status != 503:
+            break
+        await asyncio.sleep(float(answer.headers.get('Retry-After', 0.3)))
     return request_id, answer
