--- a/review/kit_3/turns.py
+++ b/review/kit_3/turns.py
@@ -69,14 +69,25 @@
     return models
 
 
-async def send_turn(world, entry, number, turn, previous, budget=4000):
+async def send_turn(
+    world, entry, number, turn, previous, budget=4000, repeated_id=''
+):
     """Send a turn of a program, again while it is refused by a 503.
 
+    Args:
+        world: the deployment.
+        entry: the entry that it is sent to.
+        number: number of the program.
+        turn: number of the turn.
+        previous: id of the turn that it continues; empty for none.
+        budget: the program's budget of tokens.
+        repeated_id: id of an earlier turn, which no sound client uses again.
+
     Returns:
         The id of the last attempt, and its answer.
     """
     for attempt in range(ATTEMPTS):
-        request_id = f'{number:08x}{turn:04x}{attempt:04x}'
+        request_id = repeated_id or f'{number:08x}{turn:04x}{attempt:04x}'
         headers = {
             'X_Program_Id': f'p{number:05x}',
             'X_Session_Id': f's{number:05x}',
--- a/review/kit_3/world.py
+++ b/review/kit_3/world.py
@@ -252,6 +252,13 @@
         self.processes[name].send_signal(number)
         self.log(f'platform: {signal.Signals(number).name} to {name}')
 
+    def processor_s(self, name):
+        """Return the processor time that a process has used."""
+        process_id = self.processes[name].pid
+        stat = pathlib.Path(f'/proc/{process_id}/stat').read_text()
+        user, system = stat.rpartition(')')[2].split()[11:13]
+        return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+
     def log_text(self, name):
         """Return what a process has logged."""
         path = self._folder / f'{name}.log'
