--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,27 +1,39 @@
-"""A program gets far more tokens than its budget after archives restarted."""
+"""A turn that another program has continued is denied after machines came."""
 
 import asyncio
 import pathlib
 
+from balsamdale import placement
 from review.kit_3 import turns
 from review.kit_3 import world as worlds
 
 KEEP_S = 60.0
-TOKENS_PER_EVENT = 25
-# The most of one turn, which each turn uses whole.
-TURN_TOKENS = 100
-BUDGET_TOKENS = 500
-# Times of the turns after the archives have started.
-RETURN_S, LAST_S = 25.0, 83.0
-RESTART_DELAY_S = 1.0
+# Duration of the first turn.
+LONG_TURN_S = 3.0
+# Times of the turns after all archives have joined.
+FIRST_S, SECOND_S, LAST_S = 17.0, 42.0, 99.0
+REPLICAS = 3
+
+
+def choose_programs(names):
+    """Return numbers of two programs that have no archive in common.
+
+    With six archives that is one pair of programs in 20.
+    """
+
+    def replicas(number):
+        return set(placement.rank(f'p{number:05x}', names)[:REPLICAS])
+
+    first = replicas(1)
+    for number in range(2, 1000):
+        if len(names) == REPLICAS or not first & replicas(number):
+            return 1, number
+    raise worlds.CaseFailed('no such programs')
 
 
 async def case(world, has_trouble):
-    configuration = turns.configuration(KEEP_S)
-    engine = configuration['services'][0]['engine']
-    engine['tokens_per_event'] = TOKENS_PER_EVENT
-    world.configure(configuration)
-    await turns.start_models(world)
+    world.configure(turns.configuration(KEEP_S))
+    models = await turns.start_models(world)
     for zone in 'abc':
         world.add_machine(f'edge-{zone}-1', 'entry', zone)
         world.add_machine(f'storage-{zone}-1', 'archive', zone)
@@ -30,47 +42,43 @@
     for zone in 'abc':
         await world.wait_until_ready(f'edge-{zone}-1')
     await world.wait_for('archives', lambda: len(world.folders()) == 3)
-    # Another program, so that the entry is connected to all archives.
-    _, answer = await turns.send_turn(world, 'edge-a-1', 0, 1, '')
-    if answer.status != 200:
-        raise worlds.CaseFailed('the system does not serve')
-    await asyncio.sleep(2.0)
+    if has_trouble:
+        # One store machine is added in each zone.
+        for zone in 'abc':
+            world.add_machine(f'storage-{zone}-2', 'archive', zone, False)
+            world.start(f'storage-{zone}-2')
+        await world.wait_for('archives', lambda: len(world.folders()) == 6)
     began_s = world.now_s()
-    tokens = 0
-    previous = ''
-    number = 0
+    number, continuing = choose_programs(world.folders())
+    world.log(f'programs p{number:05x} and p{continuing:05x}')
 
-    async def converse(count, killed):
-        """Send turns while an archive is down; count what is handed out."""
-        nonlocal tokens, previous, number
-        if has_trouble:
-            world.kill(killed)
-        for _ in range(count):
-            number += 1
-            request_id, answer = await turns.send_turn(
-                world, 'edge-a-1', 1, number, previous, BUDGET_TOKENS
-            )
-            events = answer.body.count(b'\n\n')
-            tokens += events * TOKENS_PER_EVENT
-            world.log(f'{tokens} tokens handed out of {BUDGET_TOKENS}')
-            if answer.status == 402:
-                break
-            if answer.status != 200 or not answer.is_whole:
-                raise worlds.CaseFailed(f"{request_id}: {answer.status}")
-            previous = request_id
-        await asyncio.sleep(RESTART_DELAY_S)
-        if has_trouble:
-            world.start(killed)
+    async def send(at_s, entry, program, turn, previous):
+        await asyncio.sleep(began_s + at_s - world.now_s())
+        request_id, answer = await turns.send_turn(
+            world, entry, program, turn, previous
+        )
+        return request_id, answer, world.now_s()
 
-    await converse(4, 'storage-c-1')
-    await asyncio.sleep(began_s + RETURN_S - world.now_s())
-    await converse(1, 'storage-b-1')
-    await asyncio.sleep(began_s + LAST_S - world.now_s())
-    await converse(5, 'storage-a-1')
-    if tokens > BUDGET_TOKENS + TURN_TOKENS:
+    for model in models:
+        model.gap_s = LONG_TURN_S / model.events
+    first, answer, _ = await send(FIRST_S, 'edge-a-1', number, 1, '')
+    if answer.status != 200 or not answer.is_whole:
+        raise worlds.CaseFailed('the first turn was not answered whole')
+    for model in models:
+        model.gap_s = 0.01
+    second, answer, answered_s = await send(
+        SECOND_S, 'edge-a-1', continuing, 2, first
+    )
+    if answer.status != 200 or not answer.is_whole:
+        raise worlds.CaseFailed('the second turn was not answered whole')
+    last, answer, _ = await send(LAST_S, 'edge-b-1', continuing, 3, second)
+    age_s = world.now_s() - answered_s
+    if age_s > KEEP_S:
+        raise worlds.CaseFailed('the last turn came too late')
+    if answer.status in (404, 410):
         return [
-            f'BUDGET: {tokens} tokens handed to the program, whose budget is '
-            f'{BUDGET_TOKENS}, with {TURN_TOKENS} as the most of one turn'
+            f'LOST: {last}: {answer.status}, though {second} was answered '
+            f'whole {age_s:.1f} s before, of {KEEP_S:.0f} s'
         ]
     return []
 
