Make the scripts' record and TROUBLE explicit, and the claims exact

The scripts exit with 2, not 1, where the build is missing or an error of their own ends them. Case 12 waits until a killed archive answers before it counts the time to catch up.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,11 +1,13 @@
 """A conversation is denied after each archive has restarted once."""
 
 import asyncio
-import pathlib
+import os
+import sys
 
 from review.kit_3 import turns
 from review.kit_3 import world as worlds
 
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 KEEP_S = 30.0
 # Duration of the first turn.
 LONG_TURN_S = 3.0
@@ -15,7 +17,7 @@
 RESTART_DELAY_S = 1.0
 
 
-async def case(world, has_trouble):
+async def case(world):
     world.configure(turns.configuration(KEEP_S))
     models = await turns.start_models(world)
     for zone in 'abc':
@@ -40,12 +42,12 @@
         )
         if killed_after_s:
             await asyncio.sleep(killed_after_s)
-        if has_trouble:
+        if HAS_TROUBLE:
             world.kill(killed)
         request_id, answer = await sending
         answered_s[request_id] = world.now_s()
         await asyncio.sleep(RESTART_DELAY_S)
-        if has_trouble:
+        if HAS_TROUBLE:
             world.start(killed)
         if answer.status != 200 or not answer.is_whole:
             raise worlds.CaseFailed(f'turn {turn} was not answered whole')
@@ -74,4 +76,5 @@
     return []
 
 
-worlds.main(case, pathlib.Path(__file__).parent)
+# The argument is the path of record.txt.
+worlds.main(case, HAS_TROUBLE, sys.argv[1])
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import collections
-import pathlib
+import os
+import sys
 
 from review.kit_3 import turns
 from review.kit_3 import world as worlds
 
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 # Programs that begin while one archive is down.
 PROGRAMS = 32
 KILLED = ('storage-a-1', 'storage-b-1')
@@ -18,18 +20,20 @@
 ROUNDS_END_S = 80.0
 
 
-async def begin_programs(world, numbers, killed, has_trouble):
+async def begin_programs(world, numbers, killed):
     """Begin programs while an archive restarts; return whole turns."""
-    if has_trouble:
+    if HAS_TROUBLE:
         world.kill(killed)
     first = await asyncio.gather(
         *(turns.send_turn(world, 'edge-a-1', n, 1, '') for n in numbers)
     )
     await asyncio.sleep(RESTART_DELAY_S)
-    if has_trouble:
+    if HAS_TROUBLE:
         world.start(killed)
-    # It starts within 1.5 s, and is lost until it has caught up.
-    await asyncio.sleep(1.5 + CATCH_UP_S)
+    # It is lost until it is back and has had the time to catch up.
+    await world.wait_for(f'{killed} back', lambda: world.answers(killed))
+    world.log(f'platform: {killed} answers')
+    await asyncio.sleep(CATCH_UP_S)
     return [
         (number, request_id)
         for number, (request_id, answer) in zip(numbers, first, strict=True)
@@ -37,7 +41,7 @@
     ]
 
 
-async def play_round(world, number, has_trouble):
+async def play_round(world, number):
     """Begin programs, remove an archive, and go on; return what broke."""
     removed = f'storage-c-{number}'
     count = len(world.folders())
@@ -46,14 +50,14 @@
     for group, killed in enumerate(KILLED):
         start = (number * len(KILLED) + group) * PROGRAMS
         whole += await begin_programs(
-            world, range(start, start + PROGRAMS), killed, has_trouble
+            world, range(start, start + PROGRAMS), killed
         )
     world.log(f'{len(whole)} first turns answered whole')
     if len(whole) < len(KILLED) * PROGRAMS // 2:
         raise worlds.CaseFailed('too few first turns were answered')
     if len(world.folders()) != count:
         raise worlds.CaseFailed('a killed archive was given up')
-    if has_trouble:
+    if HAS_TROUBLE:
         # For good; no other machine is lost until its successor is there.
         world.kill(removed)
         await world.wait_for(
@@ -83,7 +87,7 @@
     ]
 
 
-async def case(world, has_trouble):
+async def case(world):
     world.configure(turns.configuration(KEEP_S))
     await turns.start_models(world)
     for zone in 'abc':
@@ -103,10 +107,11 @@
         world.start(added)
         await world.wait_for('archive', lambda: added in world.folders())
         await asyncio.sleep(CATCH_UP_S)
-        broken += await play_round(world, number, has_trouble)
+        broken += await play_round(world, number)
         number += 1
         added = f'storage-c-{number}'
     return broken
 
 
-worlds.main(case, pathlib.Path(__file__).parent)
+# The argument is the path of record.txt.
+worlds.main(case, HAS_TROUBLE, sys.argv[1])
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,12 +1,14 @@
 """A turn that another program has continued is denied after machines came."""
 
 import asyncio
-import pathlib
+import os
+import sys
 
 from balsamdale import placement
 from review.kit_3 import turns
 from review.kit_3 import world as worlds
 
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 KEEP_S = 60.0
 # Duration of the first turn.
 LONG_TURN_S = 3.0
@@ -31,7 +33,7 @@
     raise worlds.CaseFailed('no such programs')
 
 
-async def case(world, has_trouble):
+async def case(world):
     world.configure(turns.configuration(KEEP_S))
     models = await turns.start_models(world)
     for zone in 'abc':
@@ -42,7 +44,7 @@
     for zone in 'abc':
         await world.wait_until_ready(f'edge-{zone}-1')
     await world.wait_for('archives', lambda: len(world.folders()) == 3)
-    if has_trouble:
+    if HAS_TROUBLE:
         # One store machine is added in each zone.
         for zone in 'abc':
             world.add_machine(f'storage-{zone}-2', 'archive', zone, False)
@@ -83,4 +85,5 @@
     return []
 
 
-worlds.main(case, pathlib.Path(__file__).parent)
+# The argument is the path of record.txt.
+worlds.main(case, HAS_TROUBLE, sys.argv[1])
--- a/review/kit_3/world.py
+++ b/review/kit_3/world.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 import aiohttp
 from aiohttp import web
@@ -54,6 +55,8 @@
 )
 HEARTBEAT_S = 1.2
 START_TIMEOUT_S = 30.0
+# A script may run for 120 s.
+CASE_TIMEOUT_S = 117.0
 
 
 class CaseFailed(Exception):
@@ -252,6 +255,18 @@
         self.processes[name].send_signal(number)
         self.log(f'platform: {signal.Signals(number).name} to {name}')
 
+    async def answers(self, name, timeout_s=1.0):
+        """Return whether a process answers at its metrics address."""
+        address = f'{self.fields[name]["ip"]}:9464'
+        try:
+            async with self.client.get(
+                f'http://{address}/metrics',
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
     def processor_s(self, name):
         """Return the processor time that a process has used."""
         process_id = self.processes[name].pid
@@ -350,16 +365,15 @@
         return f'{self._network}.{self._machines}'
 
 
-def main(case, folder):
+def main(case, has_trouble, record_path):
     """Run a case; exit with 1 if the rule was broken, 2 if it did not run.
 
     Args:
-        case: a coroutine function of the world and whether there is trouble;
-            it returns what broke the rule, a line each.
-        folder: folder of the case.
+        case: a coroutine function of the world; it returns what broke the
+            rule, a line each.
+        has_trouble: whether the case has its disruption.
+        record_path: path of the record.
     """
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
-    folder = pathlib.Path(folder)
 
     async def run():
         # So that the processes of the case are ended, too.
@@ -367,11 +381,11 @@
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGTERM, task.cancel
         )
-        async with World(folder / 'record.txt') as world:
+        async with World(record_path) as world:
             world.log(f'trouble: {has_trouble}')
             try:
-                async with asyncio.timeout(117):
-                    broken = await case(world, has_trouble)
+                async with asyncio.timeout(CASE_TIMEOUT_S):
+                    broken = await case(world)
             except (CaseFailed, TimeoutError) as error:
                 world.log(f'the case could not run: {error!r}')
                 print(f'the case could not run: {error!r}')
@@ -387,9 +401,11 @@
             return 1 if broken else 0
 
     try:
-        sys.exit(asyncio.run(run()))
-    except asyncio.CancelledError:
-        sys.exit(2)
+        status = asyncio.run(run())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
 
 
 def _free_network():
