Take the membership of a folder out of the archive's instance

What joins, repairs and leaves the replica set is apart from the node now, so that the proofs can run it on simulated folders. No change of behaviour.

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -3,14 +3,10 @@
 import asyncio
 import functools
 
-from absl import logging
-
 from balsamdale import adapter
 from balsamdale import archive_service
-from balsamdale import codec
 from balsamdale import decisions
 from balsamdale import disk_archive
-from balsamdale import errors
 from balsamdale import limit_service
 from balsamdale import members
 from balsamdale import metrics
@@ -18,6 +14,7 @@
 from balsamdale import node_settings
 from balsamdale import planned_stop
 from balsamdale import quota_service
+from balsamdale import replica_member
 from balsamdale import replica_set
 from balsamdale import shutdown
 
@@ -25,10 +22,8 @@
 
 # Seconds for replies in flight when the instance shuts down.
 REPLY_DRAIN_S = 0.5
-# Seconds between attempts to move all records away or to write to the
-# key-value service: about the time that a lost archive takes to restart.
-RETRY_INTERVAL_S = 0.3
-REPLICA_SET_CHECK_INTERVAL_S = 0.25
+# Seconds between looks whether the mirror has a state to start from.
+MIRROR_CHECK_INTERVAL_S = 0.25
 
 
 class ArchiveNode(node.Node):
@@ -64,7 +59,15 @@
             lambda: [m.instance_id for m in self.member_directory.entries()],
             clocks.monotonic,
         )
-        self._absence_tracker = replica_set.AbsenceTracker(settings.losses)
+        self.replica_member = replica_member.ReplicaMember(
+            replica_set.Folder(settings.instance_id, settings.failure_domain),
+            self.service,
+            self.replica_set,
+            self.store,
+            self._present_archives,
+            settings.losses,
+            clocks.monotonic,
+        )
         self._decommission_task: asyncio.Task | None = None
         key = platform_adapter.decommission_key(settings.instance_id)
         self.mirror.add_listener(
@@ -131,43 +134,15 @@
         return sorted(names | {own_id})
 
     async def _maintain_replica_set(self):
-        """Join the replica set, and remove the folders declared lost."""
+        """Keep the folder in the replica set until it is to leave."""
         while not self.mirror.revision:
-            await asyncio.sleep(REPLICA_SET_CHECK_INTERVAL_S)
-        is_first_start = self.settings.is_first_start
-        while self._decommission_task is None:
-            try:
-                await self._update_replica_set(is_first_start)
-                is_first_start = False
-            except errors.KeyValueError as error:
-                logging.info('node: cannot update the replica set: %s', error)
-            await asyncio.sleep(REPLICA_SET_CHECK_INTERVAL_S)
-
-    async def _update_replica_set(self, is_first_start):
-        instance_id = self.settings.instance_id
-        folder_names = self.replica_set.names()
-        if instance_id not in folder_names:
-            if folder_names and not is_first_start:
-                # This folder lacks what the others stored without it.
-                self.archive.set_in_sync(False)
-            await self.service.catch_up()
-            folder = replica_set.Folder(
-                instance_id, self.settings.failure_domain
-            )
-            await self.store.put(
-                replica_set.folder_key(instance_id), codec.encode(folder)
-            )
-            return
-        await self.service.catch_up()
-        present = frozenset(
+            await asyncio.sleep(MIRROR_CHECK_INTERVAL_S)
+        await self.replica_member.run(self.settings.is_first_start)
+
+    def _present_archives(self):
+        return frozenset(
             m.instance_id for m in self.member_directory.archives()
         )
-        lost = self._absence_tracker.find_lost(
-            folder_names, present | {instance_id}, self.clocks.monotonic()
-        )
-        if lost and await self.service.repair(frozenset(lost)):
-            for lost_name in lost:
-                await self.store.delete(replica_set.folder_key(lost_name))
 
     def _on_decommission_request(self, requested_key, key, value):
         is_running = (
@@ -182,13 +157,7 @@
         instance_id = self.settings.instance_id
         decisions.record('emptying_started')
         await self._write_decommission_status(False)
-        while not await self.service.decommission():
-            await asyncio.sleep(RETRY_INTERVAL_S)
-        await self._retry_write(
-            functools.partial(
-                self.store.delete, replica_set.folder_key(instance_id)
-            )
-        )
+        await self.replica_member.leave()
         self.member_directory.is_leaving = True
         await self.registration.leave()
         await self._write_decommission_status(True)
@@ -202,13 +171,6 @@
         key, value = self.adapter.decommission_status(
             self.settings.instance_id, is_done
         )
-        await self._retry_write(functools.partial(self.store.put, key, value))
-
-    async def _retry_write(self, write):
-        while True:
-            try:
-                await write()
-                return
-            except errors.KeyValueError as error:
-                logging.info('node: cannot write to the store: %s', error)
-                await asyncio.sleep(RETRY_INTERVAL_S)
+        await replica_member.retry_write(
+            functools.partial(self.store.put, key, value)
+        )
--- /dev/null
+++ b/balsamdale/replica_member.py
@@ -0,0 +1,117 @@
+"""Keeps the folder of an archive in the replica set.
+
+The folder joins once it is in sync, the folders declared lost are removed,
+and the folder leaves once its records are on the others.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+
+from absl import logging
+
+from balsamdale import archive_service
+from balsamdale import codec
+from balsamdale import errors
+from balsamdale import keyvalue
+from balsamdale import replica_set
+
+__all__ = ['ReplicaMember', 'retry_write']
+
+# Seconds between attempts to move all records away or to write to the
+# key-value service: about the time that a lost archive takes to restart.
+RETRY_INTERVAL_S = 0.3
+CHECK_INTERVAL_S = 0.25
+
+
+class ReplicaMember:
+    """Keeps one folder in the replica set.
+
+    Args:
+        folder: the folder of this instance.
+        service: serves its archive.
+        folders: the replica set, as this instance knows it.
+        store: the key-value service.
+        present: returns the ids of the instances that serve an archive and
+            are registered or reply.
+        losses: folders that may be lost at once.
+        clock: returns the present time in seconds; never adjusted.
+    """
+
+    def __init__(
+        self,
+        folder: replica_set.Folder,
+        service: archive_service.ArchiveService,
+        folders: replica_set.ReplicaSet,
+        store: keyvalue.LeasedKeyValue,
+        present: collections_abc.Callable[[], frozenset[str]],
+        losses: int,
+        clock: collections_abc.Callable[[], float],
+    ):
+        self._folder = folder
+        self._service = service
+        self._folders = folders
+        self._store = store
+        self._present = present
+        self._clock = clock
+        self._absence_tracker = replica_set.AbsenceTracker(losses)
+        self._is_leaving = False
+
+    async def run(self, is_first_start: bool) -> None:
+        """Join, and remove the folders declared lost, until `leave`."""
+        while not self._is_leaving:
+            try:
+                await self.update(is_first_start)
+                is_first_start = False
+            except errors.KeyValueError as error:
+                logging.info('node: cannot update the replica set: %s', error)
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async def update(self, is_first_start: bool) -> None:
+        """Do once what is due.
+
+        Raises:
+            KeyValueError: the key-value service could not be used.
+        """
+        own_id = self._folder.instance_id
+        folder_names = self._folders.names()
+        if own_id not in folder_names:
+            if folder_names and not is_first_start:
+                # This folder lacks what the others stored without it.
+                self._service.archive.set_in_sync(False)
+            await self._service.catch_up()
+            await self._store.put(
+                replica_set.folder_key(own_id), codec.encode(self._folder)
+            )
+            return
+        await self._service.catch_up()
+        lost = self._absence_tracker.find_lost(
+            folder_names, self._present() | {own_id}, self._clock()
+        )
+        if lost and await self._service.repair(frozenset(lost)):
+            for lost_name in lost:
+                await self._store.delete(replica_set.folder_key(lost_name))
+
+    async def leave(self) -> None:
+        """Move all records to the other folders and leave the set."""
+        self._is_leaving = True
+        while not await self._service.decommission():
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        await retry_write(self._delete_own_key)
+
+    async def _delete_own_key(self):
+        await self._store.delete(
+            replica_set.folder_key(self._folder.instance_id)
+        )
+
+
+async def retry_write(
+    write: collections_abc.Callable[[], collections_abc.Awaitable],
+) -> None:
+    """Write to the key-value service until it succeeds."""
+    while True:
+        try:
+            await write()
+            return
+        except errors.KeyValueError as error:
+            logging.info('node: cannot write to the store: %s', error)
+            await asyncio.sleep(RETRY_INTERVAL_S)
