Fix turns that are lost when a chain leads over programs

Cause: the replicas of a program are chosen by its id, so that a turn and the turn of another program that it continues may share no folder. A folder retains the turns before one for as long as that one, but only those that it holds itself, so that nobody extended the first turn. It expired, and the chain with it. Ruled out: the read, which joins chains from all folders.

Change: a folder counts towards the write quorum of a turn only if it holds the turn's whole chain. It tells what it lacks (KeepChainedTurn, in place of KeepTurn for turns that continue another), and the entry, which has the chain, sends it. Retention goes through gaps: a turn that comes after those that continue it is retained for as long as they are. Gaps that entries of older builds leave are read from the other folders. Where the chain is there, as in calm, it is the same one message and reply.

--- a/balsamdale/archive.py
+++ b/balsamdale/archive.py
@@ -39,6 +39,9 @@
         self.folder_id = ''
         self.is_in_sync = False
         self._accounts: dict[str, dict[str, history.Charge]] = {}
+        # Until when the turns that others continue are retained, also those
+        # that are not here yet.
+        self._retained_until_s: dict[str, float] = {}
 
     @abc.abstractmethod
     def find(self, turn_id: str) -> history.Turn | None:
@@ -74,6 +77,14 @@
     def holds(self, turn_id: str) -> bool:
         """Return whether a turn is stored here."""
 
+    @abc.abstractmethod
+    def _parent_id(self, turn_id: str) -> str | None:
+        """Return the turn that a turn continues; None if it is not here."""
+
+    def _extend_retention(self, turn_id: str, until_s: float) -> None:
+        """Take note that a turn that is here is retained for longer."""
+        return
+
     @abc.abstractmethod
     def list_turns(self, segment: int) -> tuple[tuple[TurnName, ...], int]:
         """Return the ids and programs of turns from a segment on.
@@ -120,6 +131,57 @@
             turn_id = turn.parent_id
         return tuple(reversed(turns)), turn_id
 
+    def missing_ancestor(self, turn_id: str) -> str:
+        """Return the nearest turn of a chain that is not here; '' for none.
+
+        A chain that returns to itself lacks nothing.
+        """
+        seen_ids = set()
+        while turn_id and turn_id not in seen_ids:
+            seen_ids.add(turn_id)
+            parent_id = self._parent_id(turn_id)
+            if parent_id is None:
+                return turn_id
+            turn_id = parent_id
+        return ''
+
+    def missing_ids(self, now_s: float) -> list[str]:
+        """Return the turns that are not here and that turns here continue."""
+        return [
+            turn_id
+            for turn_id, until_s in self._retained_until_s.items()
+            if until_s >= now_s and not self.holds(turn_id)
+        ]
+
+    def _retain(self, turn: history.Turn) -> float:
+        """Retain the chain of a turn for as long as the turn.
+
+        A chain with a gap is retained beyond it once the missing turn has
+        come; one that returns to itself ends where it is retained already.
+
+        Returns:
+            The end of the turn's retention.
+        """
+        until_s = max(
+            turn.expires_at_s, self._retained_until_s.get(turn.turn_id, 0.0)
+        )
+        turn_id = turn.parent_id
+        while turn_id and until_s > self._retained_until_s.get(turn_id, 0.0):
+            self._retained_until_s[turn_id] = until_s
+            parent_id = self._parent_id(turn_id)
+            if parent_id is None:
+                break
+            self._extend_retention(turn_id, until_s)
+            turn_id = parent_id
+        return until_s
+
+    def _expire_retained(self, now_s):
+        self._retained_until_s = {
+            turn_id: until_s
+            for turn_id, until_s in self._retained_until_s.items()
+            if until_s >= now_s
+        }
+
     def account(self, program_id: str) -> tuple[history.Charge, ...]:
         """Return the charges of a program that are stored here."""
         return tuple(self._accounts.get(program_id, {}).values())
@@ -191,6 +253,7 @@
             if record.turn_id in self._turns:
                 return False
             self._turns[record.turn_id] = record
+            self._retain(record)
             self._add_charge(settled_charge(record))
         elif not self._is_new_charge(record):
             return False
@@ -217,18 +280,15 @@
         self.is_in_sync = is_in_sync
 
     def expire(self, now_s: float) -> None:
-        live_turns = (
-            t for t in self._turns.values() if t.expires_at_s >= now_s
-        )
-        retained_ids = {
-            turn.turn_id
-            for last_turn in live_turns
-            for turn in self._chain_of(last_turn)
-        }
         self._turns = {
-            n: t for n, t in self._turns.items() if n in retained_ids
+            turn_id: turn
+            for turn_id, turn in self._turns.items()
+            if max(turn.expires_at_s, self._retained_until_s.get(turn_id, 0.0))
+            >= now_s
         }
+        self._expire_retained(now_s)
         self._expire_accounts(now_s)
 
-    def _chain_of(self, turn):
-        return self.chain(turn.turn_id)[0]
+    def _parent_id(self, turn_id):
+        turn = self._turns.get(turn_id)
+        return None if turn is None else turn.parent_id
--- a/balsamdale/archive_messages.py
+++ b/balsamdale/archive_messages.py
@@ -6,8 +6,10 @@
 __all__ = [
     'AskRepaired',
     'ChainRead',
+    'ChainedTurnKept',
     'ChargesListed',
     'FetchTurns',
+    'KeepChainedTurn',
     'KeepTurn',
     'Kept',
     'ListCharges',
@@ -212,3 +214,24 @@
     """
 
     is_repaired: bool
+
+
+@codec.message
+class KeepChainedTurn:
+    """Stores a turn as `KeepTurn`, but tells if its chain is not whole."""
+
+    turn: history.Turn
+
+
+@codec.message
+class ChainedTurnKept:
+    """Reply to `KeepChainedTurn`: the turn is durable.
+
+    Attributes:
+        folder_id: identity of the folder.
+        missing_id: the nearest turn of its chain that the folder lacks;
+            empty if the chain is whole, so that the turn counts as stored.
+    """
+
+    folder_id: str
+    missing_id: str
--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -32,6 +32,8 @@
 REQUEST_TIMEOUT_S = 1.5
 # Turns that are asked for at once; a reply may have fewer.
 MAX_FETCHED_TURNS = 200
+# Gaps of chains that are read in one interval.
+MAX_FILLED_GAPS = 50
 # Errors of peers whose build does not know a message.
 NOT_UNDERSTOOD = (errors.RemoteError, errors.UnknownMessage)
 # Records in flight while a folder is decommissioned.
@@ -78,6 +80,7 @@
         links.serve(messages.OpenTurn, self._on_open_turn)
         links.serve(messages.ReadChain, self._on_read_chain)
         links.serve(messages.KeepTurn, self._on_keep_turn)
+        links.serve(messages.KeepChainedTurn, self._on_keep_chained_turn)
         links.serve(messages.SettleTurn, self._on_settle_turn)
         links.serve(messages.PullRecords, self._on_pull_records)
         links.serve(messages.ListTurns, self._on_list_turns)
@@ -86,9 +89,10 @@
         links.serve(messages.AskRepaired, self._on_ask_repaired)
 
     async def run(self) -> None:
-        """Delete expired records periodically."""
+        """Fill gaps of chains and delete expired records periodically."""
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
+            await self._fill_chains()
             now_s = self._wall_clock()
             self.archive.expire(now_s - CLOCK_ERROR_LIMIT_S)
             if self._sync_task is None:
@@ -165,6 +169,40 @@
             return reply.is_repaired
         return False
 
+    async def _fill_chains(self):
+        """Read the turns of chains that this folder lacks.
+
+        Entries of older builds do not send them, and a folder that has read
+        a turn of another program lacks those before it.
+        """
+        missing_ids = self.archive.missing_ids(self._wall_clock())
+        peer_names = sorted(self._peer_names())
+        # The newest first: those that no folder has any more stay missing.
+        for turn_id in missing_ids[: -MAX_FILLED_GAPS - 1 : -1]:
+            for name in list(peer_names):
+                if self.archive.holds(turn_id):
+                    break
+                if not await self._read_chain(name, turn_id):
+                    peer_names.remove(name)
+
+    async def _read_chain(self, name, turn_id):
+        """Add what a folder has of a chain; return whether it replied."""
+        try:
+            reply = await self._relay_links.request(
+                name, messages.ReadChain(turn_id), REQUEST_TIMEOUT_S
+            )
+            for turn in reply.turns:
+                self.missed_turns += self._put(turn)
+            if reply.turns:
+                await self._request_sync()
+        except (errors.LinkError, errors.ArchiveWriteFailed) as error:
+            logging.info('archive: cannot read a chain: %s', error)
+            return False
+        return True
+
+    def _peer_names(self):
+        return self._replica_set_names() - {self._relay_links.instance_id}
+
     async def decommission(self) -> bool:
         """Become read-only and push all records to the other archives.
 
@@ -172,9 +210,7 @@
             Whether enough of them acknowledged each record.
         """
         self._is_read_only = True
-        peer_names = self._replica_set_names() - {
-            self._relay_links.instance_id
-        }
+        peer_names = self._peer_names()
         required_count = min(self._losses + 1, len(peer_names))
         if not required_count:
             return False
@@ -388,11 +424,21 @@
         )
 
     async def _on_keep_turn(self, _sender, message):
+        await self._keep(message.turn)
+        yield messages.Kept(self.archive.folder_id)
+
+    async def _on_keep_chained_turn(self, _sender, message):
+        missing_id = await self._keep(message.turn)
+        yield messages.ChainedTurnKept(self.archive.folder_id, missing_id)
+
+    async def _keep(self, turn):
+        """Store a turn; return what its chain lacked before the sync."""
         self._check_writable()
         self.stored_turns += 1
-        self._put(message.turn)
+        self._put(turn)
+        missing_id = self.archive.missing_ancestor(turn.turn_id)
         await asyncio.shield(self._request_sync())
-        yield messages.Kept(self.archive.folder_id)
+        return missing_id
 
     async def _on_settle_turn(self, _sender, message):
         self._check_writable()
--- a/balsamdale/disk_archive.py
+++ b/balsamdale/disk_archive.py
@@ -218,6 +218,7 @@
             is_current = segment is self._active_segment
             if not is_current and segment.expires_at_s < now_s:
                 self._delete_segment(segment)
+        self._expire_retained(now_s)
         self._expire_accounts(now_s)
 
     def rotate(self, now_s: float) -> None:
@@ -276,6 +277,7 @@
 
     def _index_record(self, segment, record, size_bytes):
         offset = segment.size_bytes + RECORD_HEADER.size
+        expires_at_s = record.expires_at_s
         if isinstance(record, history.Turn):
             self._locations[record.turn_id] = _TurnLocation(
                 segment.number,
@@ -285,17 +287,17 @@
                 record.program_id,
             )
             segment.turn_ids.append(record.turn_id)
-            self._extend_retention(record.parent_id, record.expires_at_s)
-        segment.expires_at_s = max(segment.expires_at_s, record.expires_at_s)
+            expires_at_s = self._retain(record)
+        segment.expires_at_s = max(segment.expires_at_s, expires_at_s)
         segment.size_bytes = offset + size_bytes
 
-    def _extend_retention(self, turn_id, expires_at_s):
-        """Retain the turns of a chain for as long as its last turn."""
+    def _parent_id(self, turn_id):
         location = self._locations.get(turn_id)
-        while location is not None:
-            segment = self._segments[location.segment]
-            segment.expires_at_s = max(segment.expires_at_s, expires_at_s)
-            location = self._locations.get(location.parent_id)
+        return None if location is None else location.parent_id
+
+    def _extend_retention(self, turn_id, until_s):
+        segment = self._segments[self._locations[turn_id].segment]
+        segment.expires_at_s = max(segment.expires_at_s, until_s)
 
     def _delete_segment(self, segment):
         for turn_id in segment.turn_ids:
--- a/balsamdale/errors.py
+++ b/balsamdale/errors.py
@@ -171,6 +171,20 @@
     """A frame is malformed, or its version or type is unknown."""
 
 
+class ChainIncomplete(LinkError):
+    """A folder has a turn, but lacks a part of its chain.
+
+    Attributes:
+        peer_id: instance that serves the folder.
+        missing_id: the turn that it lacks.
+    """
+
+    def __init__(self, peer_id, missing_id):
+        super().__init__(f'{peer_id} lacks turn {missing_id!r} of a chain')
+        self.peer_id = peer_id
+        self.missing_id = missing_id
+
+
 class ArchiveClosed(BalsamdaleError):
     """The archive is being decommissioned and accepts no new records."""
 
--- a/balsamdale/quorum.py
+++ b/balsamdale/quorum.py
@@ -15,6 +15,7 @@
 from balsamdale import archive_messages as messages
 from balsamdale import background
 from balsamdale import copies
+from balsamdale import decisions
 from balsamdale import errors
 from balsamdale import history
 from balsamdale import relay
@@ -34,6 +35,8 @@
 # Share of the budget spent above which all replicas are waited for, so that
 # fewer charges are missed near the limit.
 WAIT_FOR_ALL_BUDGET_SHARE = 0.5
+# Errors of folders whose build does not know a message.
+NOT_UNDERSTOOD = (errors.RemoteError, errors.UnknownMessage)
 # Seconds for which a settlement is retried.
 SETTLE_TIMEOUT_S = 3.0
 
@@ -118,7 +121,7 @@
             )
             for folder in replicas
         }
-        fan_out = _FanOut(self._links, requests, timeout_s)
+        fan_out = _FanOut(self._links.request, requests, timeout_s)
         read_quorum = self._read_quorum(len(replicas))
         await fan_out.wait_until(
             functools.partial(_is_reserved, self.write_quorum, read_quorum)
@@ -181,7 +184,7 @@
         read_quorum = self._read_quorum(len(names))
         message = messages.ReadChain(turn_id)
         fan_out = _FanOut(
-            self._links, dict.fromkeys(names, message), timeout_s
+            self._links.request, dict.fromkeys(names, message), timeout_s
         )
         await fan_out.wait_until(
             functools.partial(_is_chain_read, read_quorum)
@@ -194,13 +197,61 @@
             raise errors.NoSuchTurn(turn_id)
         raise errors.NoQuorum(len(_in_sync_replies(fan_out)), read_quorum)
 
-    async def store_turn(self, turn: history.Turn, timeout_s: float) -> None:
+    async def store_turn(
+        self,
+        turn: history.Turn,
+        timeout_s: float,
+        chain: tuple[history.Turn, ...] = (),
+    ) -> None:
         """Make a turn durable on a write quorum of its replicas.
 
+        A replica counts once it holds the chain of the turn, too.
+
+        Args:
+            turn: the turn.
+            timeout_s: how long to try.
+            chain: the turns that it continues, oldest first.
+
         Raises:
             NoQuorum: the turn may not be durable.
         """
-        await self._write(turn.program_id, messages.KeepTurn(turn), timeout_s)
+        if chain:
+            message = messages.KeepChainedTurn(turn)
+            request = functools.partial(self._keep_with_chain, chain)
+        else:
+            message, request = messages.KeepTurn(turn), self._links.request
+        await self._write(turn.program_id, message, timeout_s, request)
+
+    async def _keep_with_chain(self, chain, name, message, timeout_s):
+        """Store a turn in one folder, with what it lacks of the chain.
+
+        Raises:
+            LinkError: the folder may not have the turn with its chain.
+        """
+        try:
+            reply = await self._links.request(name, message, timeout_s)
+        except NOT_UNDERSTOOD:
+            keep = messages.KeepTurn(message.turn)
+            return await self._links.request(name, keep, timeout_s)
+        if not reply.missing_id:
+            return reply
+        missing = _until(chain, reply.missing_id)
+        decisions.record(
+            'chain_sent',
+            folder=name,
+            id=message.turn.turn_id,
+            turns=len(missing),
+        )
+        await asyncio.gather(
+            *(
+                self._links.request(name, messages.KeepTurn(turn), timeout_s)
+                for turn in missing
+            )
+        )
+        reply = await self._links.request(name, message, timeout_s)
+        if reply.missing_id:
+            raise errors.ChainIncomplete(name, reply.missing_id)
+        return reply
 
     def settle(self, charge: history.Charge) -> None:
         """Charge what a turn used, in the background."""
@@ -214,12 +265,14 @@
                 SETTLE_TIMEOUT_S,
             )
 
-    async def _write(self, program_id, message, timeout_s):
+    async def _write(self, program_id, message, timeout_s, request=None):
         names = [f.instance_id for f in self.replicas(program_id)]
         if len(names) < self.write_quorum:
             raise errors.NoQuorum(len(names), self.write_quorum)
         fan_out = _FanOut(
-            self._links, dict.fromkeys(names, message), timeout_s
+            request or self._links.request,
+            dict.fromkeys(names, message),
+            timeout_s,
         )
         await fan_out.wait_until(
             functools.partial(_has_write_quorum, self.write_quorum)
@@ -244,9 +297,9 @@
     replicas than the quorum needs.
     """
 
-    def __init__(self, links, requests, timeout_s):
+    def __init__(self, send, requests, timeout_s):
         self.replies: dict[str, object] = {}
-        self._links = links
+        self._send = send
         self._deadline_s = asyncio.get_running_loop().time() + timeout_s
         self._is_wait_over = False
         self._late_attempts_left = {
@@ -281,7 +334,7 @@
             if remaining_s <= 0:
                 return
             with contextlib.suppress(errors.LinkError):
-                self.replies[name] = await self._links.request(
+                self.replies[name] = await self._send(
                     name, message, min(remaining_s, ATTEMPT_TIMEOUT_S)
                 )
                 return
@@ -296,6 +349,14 @@
     return [reply for reply in fan_out.replies.values() if reply.is_whole]
 
 
+def _until(chain, turn_id):
+    """Return the turns of a chain up to one of them, the oldest first."""
+    for position, turn in enumerate(chain):
+        if turn.turn_id == turn_id:
+            return chain[: position + 1]
+    return chain
+
+
 def _has_reply_from(name, replies):
     return name in replies
 
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -247,7 +247,7 @@
             if state.status == 200:
                 state.record_stage('last_event_s', self._context.clock())
                 if state.route.stores_turns:
-                    await self._store_turn(state)
+                    await self._store_turn(state, chain)
                     # The stored turn implies its own settled charge.
                     must_settle = False
                 await state.responder.end()
@@ -305,7 +305,7 @@
                 attempts.CALLER_RETRY_AFTER_S,
             ) from error
 
-    async def _store_turn(self, state):
+    async def _store_turn(self, state, chain):
         """Make the turn durable before its response ends."""
         ids = state.record_ids
         turn = history.Turn(
@@ -318,7 +318,7 @@
             expires_at_s=self._context.wall_clock() + state.route.retention_s,
         )
         try:
-            await self._context.quorum.store_turn(turn, STORE_TIMEOUT_S)
+            await self._context.quorum.store_turn(turn, STORE_TIMEOUT_S, chain)
         except errors.NoQuorum as error:
             raise errors.Refused('not_kept', 502, str(error), 'yes') from error
         self._cache.add((turn,))
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -694,3 +694,15 @@
     copies.ReadTracker.may_forget = lambda self, lost_name, confirmed: (
         self.confirms(lost_name)
     )
+
+
+@mutation
+def chain_left_behind():
+    """A turn is stored without the turns that it continues."""
+    store_turn = quorum.Quorum.store_turn
+
+    async def store_alone(self, turn, timeout_s, chain=()):
+        await store_turn(self, turn, timeout_s)
+
+    quorum.Quorum.store_turn = store_alone
+    archive.Archive.missing_ids = lambda self, now_s: []
--- a/tests/proofs/archive_world.py
+++ b/tests/proofs/archive_world.py
@@ -158,6 +158,7 @@
         self._turn_costs: dict[str, dict[str, _TurnCost]] = {}
         self._delivered_tokens: dict[str, int] = {}
         self._turn_numbers = iter(range(1, 10**6))
+        self._opened_chains: dict[str, tuple[history.Turn, ...]] = {}
 
     async def play(self, step: Step) -> None:
         """Run one step.
@@ -260,6 +261,7 @@
             ) from error
         if turn.parent_id:
             self._check_chain(turn.parent_id, opened.chain)
+            self._opened_chains[turn.turn_id] = opened.chain
         if not has_budget:
             return True
         fits_budget = opened.spent_tokens + MAX_TURN_TOKENS <= BUDGET_TOKENS
@@ -279,7 +281,8 @@
         self._record_end(turn, turn.tokens)
 
     async def _write_turn(self, entry, turn):
-        await entry.store_turn(turn, TIMEOUT_S)
+        chain = self._opened_chains.pop(turn.turn_id, ())
+        await entry.store_turn(turn, TIMEOUT_S, chain)
 
     def _program_id(self, number):
         return f'p{number}'
--- a/tests/proofs/folder_world.py
+++ b/tests/proofs/folder_world.py
@@ -127,6 +127,7 @@
         self._turn_costs = {}
         self._delivered_tokens = {}
         self._turn_numbers = iter(range(1, 10**6))
+        self._opened_chains = {}
         self._program_numbers: dict[int, int] = {}
         self._last_ends_s: dict[str, float] = {}
         # Names of the archives that were lost, with the time of their return.
--- a/tests/proofs/test_folders.py
+++ b/tests/proofs/test_folders.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import pytest
 
+from balsamdale import copies
 from tests.proofs import archive_world
 from tests.proofs import folder_world
 
@@ -125,3 +126,32 @@
         archive_world.Wait(5.0),
         folder_world.Remove(2),
     )
+
+
+def distant_program():
+    """Return a program that has no replica of program 0 among six folders."""
+    names = [f'd{number}' for number in range(1, 7)]
+
+    def replicas(number):
+        return set(copies.replicas(f'p{number}.0', names, 1))
+
+    return next(n for n in range(1, 500) if not replicas(0) & replicas(n))
+
+
+@pytest.mark.point(2, 'chain_left_behind')
+def test_turn_outlives_the_first_program_of_its_chain():
+    """Guards against review/14.
+
+    The turns of two programs were on different folders, so that nothing
+    retained the first one for as long as the second.
+    """
+    program = distant_program()
+    play(
+        *[folder_world.Add()] * 3,
+        archive_world.Wait(1.0),
+        turn(),
+        archive_world.Wait(22.0),
+        turn(1, program),
+        archive_world.Wait(55.0),
+        turn(-1, program),
+    )
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -44,6 +44,60 @@
     assert len(tested_archive.chain('t2')[0]) == 2
 
 
+def test_chain_is_kept_through_a_gap_that_is_filled_later(tested_archive):
+    """Guards against review/14: a turn that came late expired by itself."""
+    tested_archive.put(builders.turn(1, expires_at_s=10.0))
+    tested_archive.rotate(disk_archive.MAX_SEGMENT_AGE_S + 1)
+    tested_archive.put(builders.turn(3, 2, expires_at_s=100.0))
+    assert tested_archive.missing_ancestor('t3') == 't2'
+    assert tested_archive.missing_ids(50.0) == ['t2']
+    tested_archive.rotate(2 * disk_archive.MAX_SEGMENT_AGE_S + 2)
+    tested_archive.put(builders.turn(2, 1, expires_at_s=20.0))
+    tested_archive.rotate(3 * disk_archive.MAX_SEGMENT_AGE_S + 3)
+    assert tested_archive.missing_ancestor('t3') == ''
+    assert tested_archive.missing_ids(50.0) == []
+    tested_archive.expire(50.0)
+    assert len(tested_archive.chain('t3')[0]) == 3
+    tested_archive.expire(101.0)
+    tested_archive.put(builders.turn(4, expires_at_s=200.0))
+    assert tested_archive.chain('t3') == ((), 't3')
+    assert tested_archive.missing_ids(101.0) == []
+
+
+def test_chain_that_has_expired_is_missed_again(tested_archive):
+    tested_archive.put(builders.turn(1, expires_at_s=10.0))
+    tested_archive.rotate(disk_archive.MAX_SEGMENT_AGE_S + 1)
+    tested_archive.expire(50.0)
+    tested_archive.put(builders.turn(2, 1, expires_at_s=100.0))
+    assert tested_archive.missing_ancestor('t2') == 't1'
+    tested_archive.put(builders.turn(1, expires_at_s=10.0))
+    tested_archive.expire(51.0)
+    assert len(tested_archive.chain('t2')[0]) == 2
+
+
+def test_turns_are_listed_once_by_segment(tested_archive):
+    for number in range(1, 7):
+        tested_archive.put(builders.turn(number, program=f'p{number}'))
+        tested_archive.rotate(number * disk_archive.MAX_SEGMENT_AGE_S + number)
+    names, segment = [], -1
+    while segment:
+        listed, segment = tested_archive.list_turns(max(segment, 0))
+        names.extend(listed)
+    assert names == [(f't{n}', f'p{n}') for n in range(1, 7)]
+
+
+def test_accounts_are_listed_whole(tested_archive, monkeypatch):
+    monkeypatch.setattr(archive, 'CHARGE_BATCH_COUNT', 3)
+    for number in range(1, 9):
+        charge = builders.charge(number, 5, program=f'p{number % 4}')
+        tested_archive.put(charge)
+    listed = tested_archive.list_charges('')
+    assert [c.program_id for c in listed] == ['p0', 'p0', 'p1', 'p1']
+    listed = tested_archive.list_charges('p1')
+    assert [c.program_id for c in listed] == ['p2', 'p2', 'p3', 'p3']
+    assert tested_archive.list_charges('p3') == ()
+
+
 def test_account_settles_once(tested_archive):
     tested_archive.put(builders.charge(1, 100))
     assert tested_archive.account('p') == (builders.charge(1, 100),)
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -55,6 +55,62 @@
     virtual.run(scenario())
 
 
+def test_turn_is_stored_with_what_its_folders_lack_of_its_chain():
+    """Guards against review/14: folders of two programs shared no turn."""
+
+    async def scenario():
+        cluster = archives.ArchiveCluster(count=6)
+        chain = tuple(builders.turn(n, n - 1, 'first') for n in (1, 2, 3))
+        for number, turn in enumerate(chain):
+            await cluster.quorum.store_turn(turn, 1.0, chain[:number])
+        for number in range(40):
+            turn = builders.turn(10 + number, 3, f'p{number}')
+            await cluster.quorum.store_turn(turn, 1.0, chain)
+            await asyncio.sleep(0.5)
+            for name in cluster.holders(turn.turn_id):
+                tested_archive = cluster.services[name].archive
+                assert len(tested_archive.chain(turn.turn_id)[0]) == 4
+
+    virtual.run(scenario())
+
+
+def test_folder_that_lacks_the_chain_does_not_count():
+    async def scenario():
+        cluster = archives.ArchiveCluster()
+        cluster.set_disconnected('d0')
+        for name in ('d1', 'd2'):
+            service = cluster.services[name]
+            service.archive.put(builders.turn(1))
+        chain = (builders.turn(1),)
+        cluster.set_disconnected('d0', False)
+        cluster.set_disconnected('d1')
+        links = cluster.network.links['d0']
+
+        async def refuse(_sender, _message):
+            raise errors.ArchiveWriteFailed('the disk is full')
+            yield
+
+        links.serve(messages.KeepTurn, refuse)
+        with pytest.raises(errors.NoQuorum):
+            await cluster.quorum.store_turn(builders.turn(2, 1), 0.5, chain)
+        cluster.set_disconnected('d1', False)
+        await cluster.quorum.store_turn(builders.turn(2, 1), 1.0, chain)
+
+    virtual.run(scenario())
+
+
+def test_older_archive_keeps_a_turn_by_its_own_message():
+    async def scenario():
+        cluster = archives.ArchiveCluster()
+        for name in cluster.names:
+            del cluster.network.links[name]._handlers[messages.KeepChainedTurn]
+        chain = (builders.turn(1),)
+        await cluster.quorum.store_turn(builders.turn(2, 1), 1.0, chain)
+        assert len(cluster.holders('t2')) >= 2
+
+    virtual.run(scenario())
+
+
 def test_turn_is_not_kept_by_fewer_than_a_majority():
     async def scenario():
         cluster = archives.ArchiveCluster()
--- a/tests/test_replica_member.py
+++ b/tests/test_replica_member.py
@@ -139,3 +139,20 @@
                 assert holders(cluster, f't{number}') >= replicas
 
     virtual.run(scenario())
+
+
+def test_gap_that_an_older_entry_leaves_is_filled(tmp_path):
+    """Guards against chains that nobody completes: older entries send none."""
+
+    async def scenario():
+        async with running_cluster(tmp_path, 6) as cluster:
+            entry = cluster.entries[0]
+            await store(cluster, builders.turn(1, program='first'))
+            for number in range(2, 30):
+                turn = builders.turn(number, 1, f'p{number}')
+                await entry.store_turn(turn, 1.0)
+            await asyncio.sleep(5.0)
+            for process in cluster.processes.values():
+                assert not process.archive.missing_ids(0.0)
+
+    virtual.run(scenario())
