--- a/tests/proofs/test_folders.py
+++ b/tests/proofs/test_folders.py
@@ -155,3 +155,21 @@
         archive_world.Wait(55.0),
         turn(-1, program),
     )
+
+
+@pytest.mark.point(2, 'chain_left_behind')
+def test_chain_outlives_gaps_on_every_folder():
+    """Guards against review/11.
+
+    Each folder lacked one turn of a chain and retained the turns before it
+    no longer than by themselves.
+    """
+    play(
+        folder_world.Cut(0, DOWN_S, turns=(turn(),)),
+        archive_world.Wait(30.0),
+        folder_world.Cut(1, DOWN_S, turns=(turn(-1),)),
+        archive_world.Wait(30.0),
+        folder_world.Cut(2, DOWN_S, turns=(turn(-1),)),
+        archive_world.Wait(50.0),
+        turn(-1),
+    )
