Fix accounts that end before their program

Cause: a stored turn's charge replaced the reservation, which is kept for 120 s after the turn, and had the retention of the turn alone. A folder that had missed the newest charge dropped the account, and with a folder that had missed the earlier ones it made a majority that knew a part of them. Beside it: the early charges of a long program were deleted with their segments and lived on in memory alone, so that a restart forgot them; one whose reservation lay in a later segment came back as a reservation, at its highest price.

Change: charges of one turn are merged and keep the longer retention. Charges of an account that lives are written anew before their segment is deleted. (A folder that returns reads the charges that it missed since.)

--- a/balsamdale/archive.py
+++ b/balsamdale/archive.py
@@ -106,6 +106,19 @@
         """Make changes durable without blocking the event loop."""
         self.sync()
 
+    def carry_over(self, now_s: float) -> bool:
+        """Write charges of living accounts anew before they are deleted.
+
+        They have to be synced before `expire` is called for the same time.
+
+        Returns:
+            Whether there were any.
+
+        Raises:
+            ArchiveWriteFailed: some were not written.
+        """
+        return False
+
     def rotate(self, now_s: float) -> None:
         """Start a new file if the current one is full or old."""
         return
@@ -202,13 +215,13 @@
         """Return whether adding a charge changes its account."""
         account = self._accounts.get(charge.program_id, {})
         known = account.get(charge.turn_id)
-        return known is None or (charge.is_settled and not known.is_settled)
+        return known is None or history.merge_charges(known, charge) != known
 
     def _add_charge(self, charge: history.Charge) -> None:
-        """Add a charge to its account."""
-        if self._is_new_charge(charge):
-            account = self._accounts.setdefault(charge.program_id, {})
-            account[charge.turn_id] = charge
+        """Add a charge to its account, which lives as long as its last one."""
+        account = self._accounts.setdefault(charge.program_id, {})
+        known = account.get(charge.turn_id, charge)
+        account[charge.turn_id] = history.merge_charges(known, charge)
 
     def _expire_accounts(self, now_s):
         expired_ids = [
--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -94,12 +94,18 @@
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             await self._fill_chains()
             now_s = self._wall_clock()
-            self.archive.expire(now_s - CLOCK_ERROR_LIMIT_S)
-            if self._sync_task is None:
-                try:
+            try:
+                await self._expire(now_s - CLOCK_ERROR_LIMIT_S)
+                if self._sync_task is None:
                     self.archive.rotate(now_s)
-                except errors.ArchiveWriteFailed as error:
-                    self._set_writable(False, str(error))
+            except errors.ArchiveWriteFailed as error:
+                self._set_writable(False, str(error))
+
+    async def _expire(self, now_s):
+        """Delete what has expired, once what lives on is durable anew."""
+        if self.archive.carry_over(now_s):
+            await self._request_sync()
+        self.archive.expire(now_s)
 
     async def catch_up(self) -> None:
         """Pull the records that this folder lacks until it is in sync.
--- a/balsamdale/disk_archive.py
+++ b/balsamdale/disk_archive.py
@@ -56,6 +56,7 @@
     started_at_s: float = 0.0
     expires_at_s: float = 0.0
     turn_ids: list[str] = dataclasses.field(default_factory=list)
+    program_ids: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +90,9 @@
         self._locations: dict[str, _TurnLocation] = {}
         self._segments: dict[int, _Segment] = collections.OrderedDict()
         self._read_descriptors: dict[int, int] = {}
+        # The segment that has the last record of each charge, by program and
+        # turn.
+        self._charge_segments: dict[str, dict[str, int]] = {}
         self._load_identity(is_first_start)
         self._replay(now_s)
         self._active_file = None
@@ -129,9 +133,7 @@
             return False
         self._append(record)
         self._unsynced.append(record)
-        if isinstance(record, history.Turn):
-            record = archive.settled_charge(record)
-        self._add_charge(record)
+        self._index_charge(record, self._active_segment)
         return True
 
     def sync(self) -> None:
@@ -211,15 +213,51 @@
         self._start_segment(self._active_segment.started_at_s)
         for record in self._unsynced:
             self._append(record)
+            self._index_charge(record, self._active_segment)
         self._has_sync_failed = False
 
     def expire(self, now_s: float) -> None:
-        for segment in list(self._segments.values()):
-            is_current = segment is self._active_segment
-            if not is_current and segment.expires_at_s < now_s:
-                self._delete_segment(segment)
+        if self.carry_over(now_s):
+            self.sync()
+        for segment in self._expired_segments(now_s):
+            self._delete_segment(segment)
         self._expire_retained(now_s)
+
+    def carry_over(self, now_s: float) -> bool:
         self._expire_accounts(now_s)
+        charges = [
+            charge
+            for segment in self._expired_segments(now_s)
+            for charge in self._living_charges(segment)
+        ]
+        for charge in charges:
+            self._append(charge)
+            self._unsynced.append(charge)
+            self._index_charge(charge, self._active_segment)
+        return bool(charges)
+
+    def _expire_accounts(self, now_s):
+        super()._expire_accounts(now_s)
+        for program_id in self._charge_segments.keys() - self._accounts:
+            del self._charge_segments[program_id]
+
+    def _expired_segments(self, now_s):
+        return [
+            segment
+            for segment in self._segments.values()
+            if segment is not self._active_segment
+            and segment.expires_at_s < now_s
+        ]
+
+    def _living_charges(self, segment):
+        """Return the charges whose last record is in a segment."""
+        return [
+            charge
+            for program_id in segment.program_ids & self._accounts.keys()
+            for charge in self._accounts[program_id].values()
+            if self._charge_segments[program_id][charge.turn_id]
+            == segment.number
+        ]
 
     def rotate(self, now_s: float) -> None:
         segment = self._active_segment
@@ -291,6 +329,16 @@
         segment.expires_at_s = max(segment.expires_at_s, expires_at_s)
         segment.size_bytes = offset + size_bytes
 
+    def _index_charge(self, record, segment):
+        """Add the charge that a record is or implies to its account."""
+        charge = record
+        if isinstance(record, history.Turn):
+            charge = archive.settled_charge(record)
+        self._add_charge(charge)
+        segment.program_ids.add(charge.program_id)
+        numbers = self._charge_segments.setdefault(charge.program_id, {})
+        numbers[charge.turn_id] = segment.number
+
     def _parent_id(self, turn_id):
         location = self._locations.get(turn_id)
         return None if location is None else location.parent_id
@@ -342,10 +390,7 @@
             self._segments[segment.number] = segment
             data = path.read_bytes()
             for record, end_offset in _iter_records(data):
-                if isinstance(record, history.Turn):
-                    self._add_charge(archive.settled_charge(record))
-                else:
-                    self._add_charge(record)
+                self._index_charge(record, segment)
                 size_bytes = (
                     end_offset - segment.size_bytes - RECORD_HEADER.size
                 )
--- a/balsamdale/history.py
+++ b/balsamdale/history.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc as collections_abc
+import dataclasses
 
 from balsamdale import codec
 
@@ -15,6 +16,7 @@
     'Turn',
     'assemble_prompt',
     'merge_accounts',
+    'merge_charges',
     'spent_tokens',
 ]
 
@@ -73,6 +75,19 @@
     return b''.join(parts)
 
 
+def merge_charges(known: Charge, charge: Charge) -> Charge:
+    """Return what two charges of the same turn say together.
+
+    A settled charge replaces a reservation, and has its retention.
+    """
+    is_newer = charge.is_settled and not known.is_settled
+    merged = charge if is_newer else known
+    expires_at_s = max(known.expires_at_s, charge.expires_at_s)
+    if merged.expires_at_s == expires_at_s:
+        return merged
+    return dataclasses.replace(merged, expires_at_s=expires_at_s)
+
+
 def merge_accounts(
     accounts: collections_abc.Iterable[collections_abc.Iterable[Charge]],
 ) -> dict[str, Charge]:
@@ -83,9 +98,8 @@
     merged: dict[str, Charge] = {}
     for account in accounts:
         for charge in account:
-            known = merged.get(charge.turn_id)
-            if known is None or (charge.is_settled and not known.is_settled):
-                merged[charge.turn_id] = charge
+            known = merged.get(charge.turn_id, charge)
+            merged[charge.turn_id] = merge_charges(known, charge)
     return merged
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -16,6 +16,7 @@
 from balsamdale import configuration
 from balsamdale import copies
 from balsamdale import crash_reports
+from balsamdale import disk_archive
 from balsamdale import errors
 from balsamdale import events
 from balsamdale import history
@@ -706,3 +707,21 @@
 
     quorum.Quorum.store_turn = store_alone
     archive.Archive.missing_ids = lambda self, now_s: []
+
+
+@mutation
+def account_ends_with_turn():
+    """A stored turn's charge is kept no longer than the turn."""
+    merge_charges = history.merge_charges
+
+    def merge_without_retention(known, charge):
+        is_newer = charge.is_settled and not known.is_settled
+        return charge if is_newer else merge_charges(known, charge)
+
+    history.merge_charges = merge_without_retention
+
+
+@mutation
+def early_charges_deleted():
+    """The charges of an account are deleted with their segments."""
+    disk_archive.DiskArchive._living_charges = lambda self, segment: []
--- a/tests/proofs/test_folders.py
+++ b/tests/proofs/test_folders.py
@@ -173,3 +173,33 @@
         archive_world.Wait(50.0),
         turn(-1),
     )
+
+
+def spend(tokens=archive_world.MAX_TURN_TOKENS):
+    return turn(tokens=tokens, has_budget=True)
+
+
+@pytest.mark.point(3, 'account_ends_with_turn')
+def test_budget_outlives_a_pause_on_a_folder_that_missed_the_last_charge():
+    """Guards against review/13.
+
+    The folder dropped the account, and with another that had missed the
+    charges before, it made a majority that knew a part of them.
+    """
+    play(
+        folder_world.Cut(2, DOWN_S, turns=(spend(),) * 3),
+        archive_world.Wait(24.0),
+        folder_world.Cut(1, DOWN_S, turns=(spend(),)),
+        archive_world.Wait(52.0),
+        folder_world.Cut(0, DOWN_S, turns=(spend(),) * 4),
+    )
+
+
+@pytest.mark.point(3, 'early_charges_deleted')
+def test_budget_of_a_long_program_outlives_restarts():
+    """Guards against accounts whose early charges lived in memory alone."""
+    play(
+        *[spend(40), archive_world.Wait(50.0)] * 9,
+        folder_world.RestartAll(),
+        *[spend()] * 4,
+    )
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -113,6 +113,56 @@
     assert tested_archive.account('p')[0].is_settled
 
 
+def test_settled_charge_is_kept_as_long_as_its_reservation(tested_archive):
+    """Guards against review/13: an account ended with its last stored turn."""
+    tested_archive.put(builders.charge(1, 100, expires_at_s=180.0))
+    tested_archive.put(builders.turn(1, expires_at_s=60.0))
+    tested_archive.expire(100.0)
+    (charge,) = tested_archive.account('p')
+    assert charge == builders.charge(1, 1, True, expires_at_s=180.0)
+    tested_archive.expire(181.0)
+    assert not tested_archive.account('p')
+
+
+def test_charge_that_was_read_again_is_kept_for_longer(tested_archive):
+    tested_archive.put(builders.charge(1, 30, True, expires_at_s=60.0))
+    assert tested_archive.put(builders.charge(1, 100, expires_at_s=180.0))
+    tested_archive.expire(100.0)
+    (charge,) = tested_archive.account('p')
+    assert charge == builders.charge(1, 30, True, expires_at_s=180.0)
+    assert not tested_archive.put(charge)
+
+
+def test_account_outlives_the_segments_of_its_early_turns(tmp_path):
+    """Guards against budgets that a restart hands out again.
+
+    The early charges of a long program were deleted with their segments and
+    lived on in memory alone.
+    """
+    tested_archive = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
+    age_s = disk_archive.MAX_SEGMENT_AGE_S + 1
+    for number in range(1, 9):
+        now_s = number * age_s
+        expires_at_s = now_s + 2 * age_s
+        tested_archive.put(
+            builders.charge(number, 50, expires_at_s=expires_at_s + age_s)
+        )
+        tested_archive.put(builders.turn(number, expires_at_s=expires_at_s))
+        tested_archive.rotate(now_s)
+        tested_archive.expire(now_s)
+    assert not tested_archive.holds('t1')
+    assert len(list(tmp_path.glob('*.log'))) < 7
+    tested_archive.close()
+    reopened_archive = reopen(tmp_path)
+    charges = reopened_archive.account('p')
+    assert {c.turn_id: c.tokens for c in charges} == {
+        f't{n}': n for n in range(1, 9)
+    }
+    assert all(charge.is_settled for charge in charges)
+    reopened_archive.expire(99 * age_s)
+    assert not reopened_archive.account('p')
+
+
 def test_read_returns_every_record(tested_archive):
     expected = [builders.turn(n, size=50000) for n in range(1, 20)]
     expected.append(builders.charge(77, 5))
