Fix records that a killed archive leaves unsynced and then acknowledges

After a kill an archive replays what the killed process had written, also what it had not synced. An entry that repeated its request then got the acknowledgement of a record that was there already, and nothing synced it any more. A loss of power took a turn that had been answered whole, while the folder's identity said that it was in sync.

Change: an archive syncs the newest segment with records when it opens its folder, before it serves. All older ones were synced when the next one was started. If that sync fails, the records are written again, as after any failed sync.

--- a/balsamdale/disk_archive.py
+++ b/balsamdale/disk_archive.py
@@ -98,6 +98,7 @@
         self._active_file = None
         self._unsynced: list[archive.Record] = []
         self._has_sync_failed = False
+        self._sync_replayed()
         self._start_segment(now_s)
 
     def find(self, turn_id: str) -> history.Turn | None:
@@ -402,6 +403,27 @@
                     len(data) - segment.size_bytes,
                 )
 
+    def _sync_replayed(self):
+        """Make durable what a killed process has written and not synced.
+
+        Only the newest segment with records can have such; all before it
+        were synced when it was started.
+        """
+        used = [s for s in self._segments.values() if s.size_bytes]
+        if not used:
+            return
+        segment = used[-1]
+        descriptor = os.open(segment.path, os.O_RDONLY)
+        try:
+            os.fdatasync(descriptor)
+        except OSError as error:
+            logging.error('archive: %s: %s', segment.path.name, error)
+            data = segment.path.read_bytes()
+            self._unsynced = [record for record, _ in _iter_records(data)]
+            self._has_sync_failed = True
+        finally:
+            os.close(descriptor)
+
 
 def _iter_records(
     data: bytes,
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -725,3 +725,9 @@
 def early_charges_deleted():
     """The charges of an account are deleted with their segments."""
     disk_archive.DiskArchive._living_charges = lambda self, segment: []
+
+
+@mutation
+def replayed_counts_as_synced():
+    """Records that a killed process did not sync are taken for durable."""
+    disk_archive.DiskArchive._sync_replayed = lambda self: None
--- a/tests/proofs/test_folders.py
+++ b/tests/proofs/test_folders.py
@@ -203,3 +203,12 @@
         folder_world.RestartAll(),
         *[spend()] * 4,
     )
+
+
+@pytest.mark.point(2, 'replayed_counts_as_synced')
+def test_turn_outlives_a_kill_before_its_sync_and_a_loss_of_power():
+    """Guards against records that were replayed and never synced."""
+    play(
+        folder_world.RestartAll('kept', first_turns(), 0.03),
+        folder_world.RestartAll('unsynced lost'),
+    )
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -1,5 +1,7 @@
 """Tests of archives; those in memory and on disk pass the same tests."""
 
+import os
+
 import pytest
 
 from balsamdale import archive
@@ -337,3 +339,43 @@
     reopened_archive = reopen(tmp_path)
     assert reopened_archive.find('t2') == builders.turn(2)
     assert reopened_archive.find('t3') == builders.turn(3)
+
+
+def test_what_a_killed_process_left_unsynced_is_synced_at_the_start(
+    tmp_path, monkeypatch
+):
+    """Guards against turns that are acknowledged and lost with the power.
+
+    A record that was replayed was taken for durable, though the process that
+    wrote it was killed before its sync.
+    """
+    killed = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
+    killed.put(builders.turn(1))
+    (used_path,) = tmp_path.glob('*.log')
+    synced = []
+
+    def note_sync(descriptor):
+        synced.append(os.fstat(descriptor).st_ino)
+
+    monkeypatch.setattr(disk_archive.os, 'fdatasync', note_sync)
+    reopen(tmp_path)
+    assert used_path.stat().st_ino in synced
+
+
+def test_replayed_records_that_cannot_be_synced_are_written_again(
+    tmp_path, monkeypatch
+):
+    killed = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
+    killed.put(builders.turn(1))
+
+    def refuse(_descriptor):
+        raise OSError(5, 'Input/output error')
+
+    with monkeypatch.context() as patched:
+        patched.setattr(disk_archive.os, 'fdatasync', refuse)
+        reopened_archive = reopen(tmp_path)
+    used_path = min(tmp_path.glob('*.log'))
+    reopened_archive.put(builders.turn(1))
+    reopened_archive.sync()
+    used_path.unlink()
+    assert reopen(tmp_path).find('t1') == builders.turn(1)
