Fix folders that catch up from one that is not in sync

With two losses allowed, two of five archives lose their disks. One caught up from three others, of which the second was one, and was in sync without a turn that the fourth alone still held; its lack of the turn then proved an absence.

Cause: a catch-up counted every folder that it could read. Change: copies.is_caught_up counts those that were in sync while they were read, all but the losses of the set, or all others: then no more can be had.

Evidence: test_archive_does_not_catch_up_from_one_that_has_lost_its_disk failed before this change.

--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -110,23 +110,26 @@
     async def catch_up(self) -> None:
         """Pull the records that this folder lacks until it is in sync.
 
-        All but `losses` members of the replica set must be read: every
-        record that this folder once acknowledged is on one of those.
+        What counts as enough is decided by `copies.is_caught_up`.
         """
-        pulled_names: set[str] = set()
+        own_id = self._relay_links.instance_id
+        read: set[str] = set()
+        whole: set[str] = set()
         while not self.archive.is_in_sync:
-            replica_set_names = self._replica_set_names()
-            peer_names = replica_set_names - {self._relay_links.instance_id}
-            for name in sorted(peer_names - pulled_names):
-                if await self._read_folder(name, _needs_all) is not None:
-                    pulled_names.add(name)
-            required_count = max(1, len(replica_set_names) - self._losses)
-            if len(pulled_names & peer_names) >= required_count:
+            folder_names = self._replica_set_names()
+            for name in sorted(folder_names - {own_id} - whole):
+                is_whole = await self._read_folder(name, _needs_all)
+                if is_whole is not None:
+                    read.add(name)
+                if is_whole:
+                    whole.add(name)
+            if copies.is_caught_up(
+                folder_names, own_id, whole, read, self._losses
+            ):
                 await self._request_sync()
                 self.archive.set_in_sync()
                 logging.info(
-                    'archive: caught up from %s',
-                    ', '.join(sorted(pulled_names)),
+                    'archive: caught up from %s', ', '.join(sorted(read))
                 )
                 return
             await asyncio.sleep(CATCH_UP_RETRY_INTERVAL_S)
--- a/balsamdale/copies.py
+++ b/balsamdale/copies.py
@@ -26,8 +26,8 @@
 def is_caught_up(
     folder_names: frozenset[str],
     own_id: str,
-    whole: frozenset[str],
-    read: frozenset[str],
+    whole: collections_abc.Set[str],
+    read: collections_abc.Set[str],
     losses: int,
 ) -> bool:
     """Return whether a folder has read all that it can have acknowledged.
--- a/tests/test_archive_service.py
+++ b/tests/test_archive_service.py
@@ -44,6 +44,45 @@
     virtual.run(scenario())
 
 
+def test_archive_does_not_catch_up_from_one_that_has_lost_its_disk():
+    """Guards against folders in sync that have read none with the turn.
+
+    A folder that catches up counted another that had just lost its disk.
+    """
+
+    async def scenario():
+        cluster = archives.ArchiveCluster(count=5, losses=2)
+        for name in ('d3', 'd4'):
+            cluster.set_disconnected(name)
+        await cluster.quorum.store_turn(builders.turn(1), 1.0)
+        await asyncio.sleep(3.0)
+        for name in ('d3', 'd4'):
+            cluster.set_disconnected(name, False)
+        assert cluster.holders('t1') == {'d0', 'd1', 'd2'}
+        cluster.add_archive('d1', False)
+        service = cluster.add_archive('d0', False)
+        cluster.set_disconnected('d2')
+        catching_up = asyncio.create_task(service.catch_up())
+        await asyncio.sleep(10.0)
+        assert not service.archive.is_in_sync
+        cluster.set_disconnected('d2', False)
+        await asyncio.wait_for(catching_up, 10.0)
+        assert service.archive.holds('t1')
+
+    virtual.run(scenario())
+
+
+def test_archives_that_all_lost_their_disks_come_back():
+    async def scenario():
+        cluster = archives.ArchiveCluster()
+        services = [cluster.add_archive(n, False) for n in cluster.names]
+        async with asyncio.timeout(10.0):
+            await asyncio.gather(*(s.catch_up() for s in services))
+        await cluster.quorum.store_turn(builders.turn(1), 1.0)
+
+    virtual.run(scenario())
+
+
 def test_emptied_archive_leaves_enough_copies():
     async def scenario():
         cluster = archives.ArchiveCluster(count=4)
