Fix folders that count as emptied before they have caught up

Cause: emptying pushed what the folder held and asked for nothing else. A folder that has just lost its disk holds nothing, so it was declared emptied at once, and its copies, which the others counted on, were never restored.

Change: a folder that is to be emptied catches up first. A turn counts as moved once a folder has it with all of its chain that the leaving one has, and goes to the folders that are its replicas without the leaving one, no longer to all.

--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -215,14 +215,18 @@
     async def decommission(self) -> bool:
         """Become read-only and push all records to the other archives.
 
+        A folder that lacks records catches up first, as they may be on no
+        other that could hold them alone.
+
         Returns:
             Whether enough of them acknowledged each record.
         """
         self._is_read_only = True
+        await self.catch_up()
         peer_names = self._peer_names()
-        required_count = min(self._losses + 1, len(peer_names))
-        if not required_count:
+        if not peer_names:
             return False
+        required_count = min(self._losses + 1, len(peer_names))
         cursor = (0, 0)
         while True:
             records, cursor = self.archive.read(cursor)
@@ -247,21 +251,47 @@
         self.archive.close()
 
     async def _push_record(self, record, peer_names):
-        if isinstance(record, history.Turn):
-            message = messages.KeepTurn(record)
-        else:
-            message = messages.SettleTurn(record)
+        """Store a record in the folders that must hold it without this one.
+
+        Returns:
+            How many of them have it, with all that this folder has of its
+            chain.
+        """
+        names = copies.replicas(record.program_id, peer_names, self._losses)
         acknowledgements = await asyncio.gather(
-            *(self._try_request(name, message) for name in peer_names)
+            *(self._push_to(name, record) for name in names)
         )
         return sum(acknowledgements)
 
-    async def _try_request(self, name, message):
+    async def _push_to(self, name, record):
         with contextlib.suppress(errors.LinkError):
-            await self._relay_links.request(name, message, REQUEST_TIMEOUT_S)
-            return True
+            if not isinstance(record, history.Turn):
+                message = messages.SettleTurn(record)
+                await self._relay_links.request(
+                    name, message, REQUEST_TIMEOUT_S
+                )
+                return True
+            missing_id = await self._push_turn(name, record)
+            return not missing_id or not self.archive.holds(missing_id)
         return False
 
+    async def _push_turn(self, name, turn):
+        """Store a turn in another folder; return what its chain lacks."""
+        try:
+            reply = await self._relay_links.request(
+                name, messages.KeepChainedTurn(turn), REQUEST_TIMEOUT_S
+            )
+        except NOT_UNDERSTOOD:
+            await self._relay_links.request(
+                name, messages.KeepTurn(turn), REQUEST_TIMEOUT_S
+            )
+            return ''
+        if reply.missing_id and self.archive.holds(reply.missing_id):
+            # The next of the chain may be missing, too, or on its way.
+            await self._push_turn(name, self.archive.find(reply.missing_id))
+            return await self._push_turn(name, turn)
+        return reply.missing_id
+
     async def _read_folder(self, name, needs):
         """Add the records of a folder that this one needs and lacks.
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -731,3 +731,18 @@
 def replayed_counts_as_synced():
     """Records that a killed process did not sync are taken for durable."""
     disk_archive.DiskArchive._sync_replayed = lambda self: None
+
+
+@mutation
+def emptied_before_caught_up():
+    """A folder that lacks records is emptied without reading them first."""
+    decommission = archive_service.ArchiveService.decommission
+
+    async def catch_up():
+        return
+
+    async def decommission_at_once(self):
+        self.catch_up = catch_up
+        return await decommission(self)
+
+    archive_service.ArchiveService.decommission = decommission_at_once
--- a/tests/proofs/folder_world.py
+++ b/tests/proofs/folder_world.py
@@ -155,12 +155,30 @@
                 not serve again.
         """
         await self._await_returns(0)
-        live_ids = self._live_ids()
-        for turn_id in live_ids:
+        self._check_copies()
+        for turn_id in self._live_ids():
             for entry in self._entries:
                 chain = await self._read_chain(entry, turn_id)
                 self._check_chain(turn_id, chain)
 
+    def _check_copies(self):
+        """Check that whole turns are on enough folders of the present set."""
+        archives = [
+            self._cluster.processes[name].archive
+            for name in self._cluster.members()
+            if name in self._cluster.processes
+        ]
+        for turn_id in self._live_ids():
+            count = sum(
+                archive.holds(turn_id)
+                and not archive.missing_ancestor(turn_id)
+                for archive in archives
+            )
+            if count <= self._losses:
+                raise archive_world.InvariantViolated(
+                    f'{turn_id} is whole on {count} folders'
+                )
+
     async def _change(self, step):
         match step:
             case Restart():
@@ -214,6 +232,7 @@
         if len(self._cluster.processes) <= 2 * self._losses:
             await self._add()
         await self._wait_for(lambda: name not in self._cluster.members())
+        self._check_copies()
         del self._returns_s[name]
 
     async def _empty(self, step):
@@ -227,6 +246,7 @@
             self._returns_s[name] = float('inf')
         async with asyncio.timeout(LEAVE_TIMEOUT_S):
             await process.member.leave()
+        self._check_copies()
         await asyncio.sleep(folder_cluster.MAX_MIRROR_DELAY_S)
         self._cluster.kill(name)
         self._returns_s.pop(name, None)
--- a/tests/proofs/test_folders.py
+++ b/tests/proofs/test_folders.py
@@ -212,3 +212,17 @@
         folder_world.RestartAll('kept', first_turns(), 0.03),
         folder_world.RestartAll('unsynced lost'),
     )
+
+
+@pytest.mark.point(2, 'emptied_before_caught_up')
+def test_turns_outlive_a_folder_that_is_emptied_after_it_lost_its_disk():
+    """Guards against review/1.
+
+    The folder held nothing, so it counted as emptied at once, and the copies
+    that it had lost were on one folder only.
+    """
+    play(
+        folder_world.Cut(2, DOWN_S, turns=first_turns()),
+        archive_world.Wait(5.0),
+        folder_world.Empty(1, 'empty'),
+    )
--- a/tests/test_archive_service.py
+++ b/tests/test_archive_service.py
@@ -104,6 +104,44 @@
     virtual.run(scenario())
 
 
+def test_emptied_archive_leaves_whole_chains():
+    async def scenario():
+        cluster = archives.ArchiveCluster(count=4)
+        leaving = cluster.services['d0']
+        for number in range(1, 40):
+            leaving.archive.put(builders.turn(number, number - 1))
+        leaving.archive.put(builders.turn(50, 49))
+        assert await leaving.decommission()
+        whole = [
+            name
+            for name, service in cluster.services.items()
+            if name != 'd0' and len(service.archive.chain('t39')[0]) == 39
+        ]
+        assert len(whole) >= 2
+        assert len(cluster.holders('t50') - {'d0'}) >= 2
+
+    virtual.run(scenario())
+
+
+def test_emptied_archive_gives_each_record_to_its_replicas_alone():
+    """Guards against disks that grow with each emptied archive."""
+
+    async def scenario():
+        cluster = archives.ArchiveCluster(count=7)
+        leaving = cluster.services['d0']
+        for number in range(1, 40):
+            leaving.archive.put(builders.turn(number, program=f'p{number}'))
+        assert await leaving.decommission()
+        cluster.names.remove('d0')
+        for number in range(1, 40):
+            replicas = {
+                f.instance_id for f in cluster.quorum.replicas(f'p{number}')
+            }
+            assert cluster.holders(f't{number}') - {'d0'} == replicas
+
+    virtual.run(scenario())
+
+
 def test_emptying_is_not_done_without_enough_others():
     async def scenario():
         cluster = archives.ArchiveCluster()
