Fix folders that are emptied without one that has just joined

The world found it in 2 of 2000 random worlds: a folder joined, and within 0.3 s another was emptied, which had not seen it join. It counted two copies as enough on the one folder that it knew of, and reported completion; the replies of the new folder then proved the absence of turns.

Change: the leaving folder compares the set that it has used with the one in the key-value service, and goes on until they are the same.

Evidence: test_turns_outlive_a_folder_that_is_emptied_just_after_another_ joined failed before; the same 2000 worlds pass.

--- a/balsamdale/replica_member.py
+++ b/balsamdale/replica_member.py
@@ -129,12 +129,30 @@
             )
 
     async def leave(self) -> None:
-        """Move all records to the other folders and leave the set."""
+        """Move all records to the other folders and leave the set.
+
+        Folders that have joined meanwhile get theirs, too.
+        """
         self._is_leaving = True
-        while not await self._service.decommission():
+        while True:
+            folder_names = self._folders.names()
+            if (
+                await self._service.decommission()
+                and await self._read_names() == folder_names
+            ):
+                break
             await asyncio.sleep(RETRY_INTERVAL_S)
         await retry_write(self._delete_own_key)
 
+    async def _read_names(self):
+        """Return the replica set as the key-value service has it now."""
+        try:
+            pairs, _ = await self._store.scan(replica_set.KEY_PREFIX)
+        except errors.KeyValueError as error:
+            logging.info('node: cannot read the replica set: %s', error)
+            return None
+        return {p.key.removeprefix(replica_set.KEY_PREFIX) for p in pairs}
+
     async def _delete_own_key(self):
         await self._store.delete(
             replica_set.folder_key(self._folder.instance_id)
--- a/tests/folder_cluster.py
+++ b/tests/folder_cluster.py
@@ -16,6 +16,7 @@
 from balsamdale import archive_service
 from balsamdale import background
 from balsamdale import disk_archive
+from balsamdale import keyvalue
 from balsamdale import link
 from balsamdale import members
 from balsamdale import quorum
@@ -89,6 +90,16 @@
             replicas.apply_change(key, value)
         self._observers.append([replicas, 0.0])
 
+    async def scan(self, prefix):
+        """Return the present pairs under a prefix, and no revision."""
+        await asyncio.sleep(STORE_DELAY_S)
+        pairs = (
+            keyvalue.Pair(key, value, 0)
+            for key, value in self.pairs.items()
+            if key.startswith(prefix)
+        )
+        return tuple(pairs), 0
+
     async def put(self, key, value):
         """Write a key."""
         await asyncio.sleep(STORE_DELAY_S)
--- a/tests/proofs/test_folders.py
+++ b/tests/proofs/test_folders.py
@@ -226,3 +226,16 @@
         archive_world.Wait(5.0),
         folder_world.Empty(1, 'empty'),
     )
+
+
+def test_turns_outlive_a_folder_that_is_emptied_just_after_another_joined():
+    """Guards against copies on the folders that the leaving one knew of.
+
+    It had not yet seen the other one join, and counted too few copies.
+    """
+    play(
+        folder_world.Empty(2),
+        folder_world.Add(),
+        archive_world.ConcurrentTurns(first_turns()),
+        folder_world.Empty(1),
+    )
