Fix archives that hang on a chain that returns to itself

An entry refuses a turn whose id is in its own chain, before it runs: 400, as the protocol says of a request that ends its program; 404 would deny a turn that exists.

--- a/balsamdale/archive.py
+++ b/balsamdale/archive.py
@@ -132,17 +132,17 @@
 
         Returns:
             The turns, oldest first, and the id of the turn before them if it
-            is missing or beyond the limit; an empty id if the chain is
-            complete.
+            is missing, beyond the limit, or one of them; an empty id if the
+            chain is complete.
         """
-        turns: list[history.Turn] = []
-        while turn_id and len(turns) < MAX_CHAIN_TURNS:
+        turns: dict[str, history.Turn] = {}
+        while turn_id and turn_id not in turns:
             turn = self.find(turn_id)
-            if turn is None:
+            if turn is None or len(turns) == MAX_CHAIN_TURNS:
                 break
-            turns.append(turn)
+            turns[turn_id] = turn
             turn_id = turn.parent_id
-        return tuple(reversed(turns)), turn_id
+        return tuple(reversed(turns.values())), turn_id
 
     def missing_ancestor(self, turn_id: str) -> str:
         """Return the nearest turn of a chain that is not here; '' for none.
--- a/balsamdale/quorum.py
+++ b/balsamdale/quorum.py
@@ -168,12 +168,18 @@
         Raises:
             NoQuorum: a turn was not found, and the in-sync replies are too
                 few to prove its absence.
-            NoSuchTurn: a read quorum replied and no folder holds a turn.
+            NoSuchTurn: a read quorum replied and no folder holds a turn, or
+                the chain returns to itself.
         """
         chain: tuple[history.Turn, ...] = ()
+        known_ids: set[str] = set()
         missing_id = turn_id
         while missing_id:
             part = await self._read_longest_part(missing_id, timeout_s)
+            part_ids = {turn.turn_id for turn in part.turns}
+            if known_ids & part_ids:
+                raise errors.NoSuchTurn(turn_id)
+            known_ids |= part_ids
             chain = part.turns + chain
             missing_id = part.missing_id
         return chain
--- a/balsamdale/serving.py
+++ b/balsamdale/serving.py
@@ -227,6 +227,7 @@
             if call.budget_tokens and not state.route.stores_turns:
                 # An account without charges has not had a turn before.
                 state.is_first_turn = not reservation.spent_tokens
+            _check_id_is_new(ids, chain)
             requested_tokens = reservation.spent_tokens + call.answer_tokens
             if call.budget_tokens and requested_tokens > call.budget_tokens:
                 raise errors.Refused(
@@ -360,6 +361,16 @@
         decisions.record('request', **fields)
 
 
+def _check_id_is_new(ids, chain):
+    """Refuse a turn that would be its own ancestor."""
+    if any(turn.turn_id == ids.turn_id for turn in chain):
+        raise errors.Refused(
+            'id_used_before',
+            400,
+            'an earlier turn of this chain has the id of this request',
+        )
+
+
 def _time_limit_s(route, call):
     if call.timeout_s is None:
         return route.timeout_s
--- a/balsamdale/turn_cache.py
+++ b/balsamdale/turn_cache.py
@@ -21,15 +21,18 @@
         self._turns: dict[str, history.Turn] = {}
 
     def chain(self, turn_id: str) -> tuple[history.Turn, ...] | None:
-        """Return the chain of a turn, or None if a part is not cached."""
-        turns = []
+        """Return the chain of a turn, or None if a part is not cached.
+
+        A chain that returns to itself is None, too.
+        """
+        turns: dict[str, history.Turn] = {}
         while turn_id:
             turn = self._turns.get(turn_id)
-            if turn is None:
+            if turn is None or turn_id in turns:
                 return None
-            turns.append(turn)
+            turns[turn_id] = turn
             turn_id = turn.parent_id
-        return tuple(reversed(turns))
+        return tuple(reversed(turns.values()))
 
     def add(self, turns: tuple[history.Turn, ...]) -> None:
         """Add turns, and evict the oldest ones above the size limit."""
--- a/tests/proofs/folder_world.py
+++ b/tests/proofs/folder_world.py
@@ -7,11 +7,13 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import os
 import tempfile
 import typing
 
+from balsamdale import errors
 from balsamdale import history
 from tests import folder_cluster
 from tests.proofs import archive_world
@@ -108,7 +110,23 @@
     after_s: float = 0.0
 
 
-Change = Restart | Cut | Add | Remove | Empty | RestartAll
+@dataclasses.dataclass(frozen=True)
+class RepeatId:
+    """Stores a turn that continues itself, under the id of an earlier one.
+
+    No entry of this build takes such a turn. What becomes of the turns that
+    continue it is not judged; all others hold.
+
+    Attributes:
+        program: number of the program that it comes from.
+        parent: which of the stored turns gives its id.
+    """
+
+    program: int
+    parent: int
+
+
+Change = RepeatId | Restart | Cut | Add | Remove | Empty | RestartAll
 
 
 class ChangingCluster(archive_world.SimulatedCluster):
@@ -181,6 +199,8 @@
 
     async def _change(self, step):
         match step:
+            case RepeatId():
+                await self._repeat_id(step)
             case Restart():
                 await self._restart(step)
             case Cut():
@@ -213,6 +233,27 @@
             self._cluster.start(name)
             self._mark_returned(name)
 
+    async def _repeat_id(self, step):
+        turn_id = self._choose_parent(step.parent)
+        if not turn_id:
+            return
+        turn = dataclasses.replace(
+            self._stored_turns[turn_id],
+            parent_id=turn_id,
+            program_id=self._program_id(step.program),
+            expires_at_s=self._expires_at_s(),
+        )
+        spoiled_ids = {turn_id}
+        for other_id, other in self._stored_turns.items():
+            if other.parent_id in spoiled_ids:
+                spoiled_ids.add(other_id)
+        for other_id in spoiled_ids:
+            del self._stored_turns[other_id]
+        with contextlib.suppress(errors.NoQuorum):
+            await self._entries[0].store_turn(
+                turn, archive_world.TIMEOUT_S, (turn,)
+            )
+
     async def _restart(self, step):
         name = await self._next_lost(step.number)
         self._end(name, step.disk)
--- a/tests/proofs/test_folders.py
+++ b/tests/proofs/test_folders.py
@@ -45,6 +45,9 @@
         folder_world.Cut, SMALL_NUMBERS, DOWN_TIMES_S, TURN_TUPLES
     ),
     strategies.builds(folder_world.Add),
+    strategies.builds(
+        folder_world.RepeatId, strategies.integers(0, 3), SMALL_NUMBERS
+    ),
     strategies.builds(folder_world.Remove, SMALL_NUMBERS),
     strategies.builds(
         folder_world.Empty,
@@ -239,3 +242,16 @@
         archive_world.ConcurrentTurns(first_turns()),
         folder_world.Empty(1),
     )
+
+
+def test_archives_outlive_ids_that_come_again():
+    """Guards against review/15: archives hung, also after a restart."""
+    play(
+        folder_world.Add(),
+        archive_world.Wait(1.0),
+        archive_world.ConcurrentTurns(first_turns()),
+        *(folder_world.RepeatId(100 + n, n) for n in range(1, 9)),
+        archive_world.ConcurrentTurns(first_turns()),
+        folder_world.RestartAll(),
+        archive_world.ConcurrentTurns(first_turns()),
+    )
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -77,6 +77,27 @@
     assert len(tested_archive.chain('t2')[0]) == 2
 
 
+@pytest.mark.parametrize('parents', [{1: 1}, {1: 2, 2: 1}, {1: 2, 2: 3, 3: 2}])
+def test_chain_that_returns_to_itself_ends(tested_archive, parents):
+    """Guards against review/15: archives followed such a chain for ever."""
+    for number, parent in parents.items():
+        tested_archive.put(builders.turn(number, parent, expires_at_s=100.0))
+    turns, missing_id = tested_archive.chain('t1')
+    assert len(turns) == len(parents)
+    assert missing_id in {turn.turn_id for turn in turns}
+    assert tested_archive.missing_ancestor('t1') == ''
+    tested_archive.put(builders.turn(9, 1, expires_at_s=200.0))
+    tested_archive.expire(150.0)
+    assert len(tested_archive.chain('t9')[0]) == len(parents) + 1
+
+
+def test_chain_that_returns_to_itself_is_replayed(tmp_path):
+    tested_archive = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
+    tested_archive.put(builders.turn(1, 1))
+    tested_archive.close()
+    assert reopen(tmp_path).chain('t1') == ((builders.turn(1, 1),), 't1')
+
+
 def test_turns_are_listed_once_by_segment(tested_archive):
     for number in range(1, 7):
         tested_archive.put(builders.turn(number, program=f'p{number}'))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -190,6 +190,26 @@
     routed_site.run(tmp_path, scenario)
 
 
+def test_id_that_comes_again_in_its_own_chain_is_refused(tmp_path):
+    """Guards against review/15: such a turn continued itself for ever."""
+
+    async def scenario(deployment):
+        await deployment.post_turn('t1')
+        await deployment.post_turn('t2', 't1')
+        for turn_id, parent, entry in (
+            ('t1', 't1', 'entry-a'),
+            ('t1', 't2', 'entry-b'),
+        ):
+            status, _, _ = await deployment.post_turn(
+                turn_id, parent, program='other', entry=entry
+            )
+            assert status == 400
+        assert deployment.run_count('t1') == 1
+        assert (await deployment.post_turn('t3', 't2'))[0] == 200
+
+    routed_site.run(tmp_path, scenario)
+
+
 def test_archive_that_is_away_stays_in_the_set(tmp_path):
     async def scenario(deployment):
         await deployment.stop('archive-a')
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -99,6 +99,24 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize('parents', [{1: 1}, {1: 2, 2: 1}])
+def test_chain_that_returns_to_itself_is_no_chain(parents):
+    """Guards against review/15 at entries: the read had no end."""
+
+    async def scenario():
+        cluster = archives.ArchiveCluster()
+        for number, parent in parents.items():
+            turn = builders.turn(number, parent)
+            await cluster.quorum.store_turn(turn, 1.0)
+        with pytest.raises(errors.NoSuchTurn):
+            await cluster.quorum.read_chain('t1', 1.0)
+        message = open_turn_message(9, 10, 't1', True)
+        with pytest.raises(errors.NoSuchTurn):
+            await cluster.quorum.reserve(message, 1000, 1.0)
+
+    virtual.run(scenario())
+
+
 def test_older_archive_keeps_a_turn_by_its_own_message():
     async def scenario():
         cluster = archives.ArchiveCluster()
--- a/tests/test_turn_cache.py
+++ b/tests/test_turn_cache.py
@@ -19,3 +19,9 @@
         cache.add((builders.turn(number, size=100),))
     assert cache.chain('t1') is None
     assert cache.chain('t19') is not None
+
+
+def test_chain_that_returns_to_itself_is_not_found():
+    cache = turn_cache.TurnCache()
+    cache.add((builders.turn(1, 2), builders.turn(2, 1)))
+    assert cache.chain('t1') is None
