Split the transfer of records and the files of segments from archives

No change of behaviour, but for one fault that planned stops showed in the proofs' world: a loop that was cancelled while it waited for a shared sync cancelled the sync's future for all, so that the others failed (InvalidStateError) or waited for good. A wait is shielded everywhere now; test_cancelled_wait_for_a_sync_leaves_it_to_the_ others fails without that.

--- a/balsamdale/archive_node.py
+++ b/balsamdale/archive_node.py
@@ -104,7 +104,7 @@
             ),
             'turns_missed': (
                 'Turns that were stored while this folder was away',
-                lambda: self.service.missed_turns,
+                lambda: self.service.transfer.missed_turns,
             ),
             'folders_unread': (
                 'Folders that this one has still to read',
--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -18,6 +18,7 @@
 from balsamdale import errors
 from balsamdale import history
 from balsamdale import link
+from balsamdale import record_transfer
 from balsamdale import relay
 
 __all__ = ['ArchiveService']
@@ -30,12 +31,8 @@
 CATCH_UP_RETRY_INTERVAL_S = 0.2
 # Seconds for a reply of a peer that may first wait for its disk.
 REQUEST_TIMEOUT_S = 1.5
-# Turns that are asked for at once; a reply may have fewer.
-MAX_FETCHED_TURNS = 200
 # Gaps of chains that are read in one interval.
 MAX_FILLED_GAPS = 50
-# Errors of peers whose build does not know a message.
-NOT_UNDERSTOOD = (errors.RemoteError, errors.UnknownMessage)
 # Records in flight while a folder is decommissioned.
 MAX_CONCURRENT_PUSHES = 32
 
@@ -66,6 +63,9 @@
         self._relay_links = relay_links
         self._replica_set_names = replica_set_names
         self.reads = copies.ReadTracker(relay_links.instance_id)
+        self.transfer = record_transfer.RecordTransfer(
+            local_archive, relay_links, self._put, losses
+        )
         self._is_read_only = False
         self._is_writable = True
         self._losses = losses
@@ -76,7 +76,6 @@
         self.stored_turns = 0
         self.opened_turns = 0
         self.syncs = 0
-        self.missed_turns = 0
         links.serve(messages.OpenTurn, self._on_open_turn)
         links.serve(messages.ReadChain, self._on_read_chain)
         links.serve(messages.KeepTurn, self._on_keep_turn)
@@ -104,7 +103,7 @@
     async def _expire(self, now_s):
         """Delete what has expired, once what lives on is durable anew."""
         if self.archive.carry_over(now_s):
-            await self._request_sync()
+            await self._sync_all()
         self.archive.expire(now_s)
 
     async def catch_up(self) -> None:
@@ -118,7 +117,7 @@
         while not self.archive.is_in_sync:
             folder_names = self._replica_set_names()
             for name in sorted(folder_names - {own_id} - whole):
-                is_whole = await self._read_folder(name, _needs_all)
+                is_whole = await self.transfer.read(name, _needs_all)
                 if is_whole is not None:
                     read.add(name)
                 if is_whole:
@@ -126,7 +125,7 @@
             if copies.is_caught_up(
                 folder_names, own_id, whole, read, self._losses
             ):
-                await self._request_sync()
+                await self._sync_all()
                 self.archive.set_in_sync()
                 logging.info(
                     'archive: caught up from %s', ', '.join(sorted(read))
@@ -148,10 +147,10 @@
             self.reads.remaining(),
             self._losses,
         )
-        found = await self._read_folder(name, needs)
+        found = await self.transfer.read(name, needs)
         if found is None:
             return False
-        await self._request_sync()
+        await self._sync_all()
         return True
 
     async def unconfirmed(self, lost_name: str) -> list[str]:
@@ -191,23 +190,10 @@
             for name in list(peer_names):
                 if self.archive.holds(turn_id):
                     break
-                if not await self._read_chain(name, turn_id):
+                if not await self.transfer.read_chain(name, turn_id):
                     peer_names.remove(name)
-
-    async def _read_chain(self, name, turn_id):
-        """Add what a folder has of a chain; return whether it replied."""
-        try:
-            reply = await self._relay_links.request(
-                name, messages.ReadChain(turn_id), REQUEST_TIMEOUT_S
-            )
-            for turn in reply.turns:
-                self.missed_turns += self._put(turn)
-            if reply.turns:
-                await self._request_sync()
-        except (errors.LinkError, errors.ArchiveWriteFailed) as error:
-            logging.info('archive: cannot read a chain: %s', error)
-            return False
-        return True
+        if missing_ids:
+            await self._sync_all()
 
     def _peer_names(self):
         return self._replica_set_names() - {self._relay_links.instance_id}
@@ -236,7 +222,7 @@
                 batch = records[start : start + MAX_CONCURRENT_PUSHES]
                 acknowledgement_counts = await asyncio.gather(
                     *(
-                        self._push_record(record, peer_names)
+                        self.transfer.push(record, peer_names)
                         for record in batch
                     )
                 )
@@ -247,141 +233,18 @@
         """Sync and release the folder."""
         self._background.cancel()
         # The disk may take long, so it is not waited for in the event loop.
-        await self._request_sync()
+        await self._sync_all()
         self.archive.close()
 
-    async def _push_record(self, record, peer_names):
-        """Store a record in the folders that must hold it without this one.
-
-        Returns:
-            How many of them have it, with all that this folder has of its
-            chain.
-        """
-        names = copies.replicas(record.program_id, peer_names, self._losses)
-        acknowledgements = await asyncio.gather(
-            *(self._push_to(name, record) for name in names)
-        )
-        return sum(acknowledgements)
-
-    async def _push_to(self, name, record):
-        with contextlib.suppress(errors.LinkError):
-            if not isinstance(record, history.Turn):
-                message = messages.SettleTurn(record)
-                await self._relay_links.request(
-                    name, message, REQUEST_TIMEOUT_S
-                )
-                return True
-            missing_id = await self._push_turn(name, record)
-            return not missing_id or not self.archive.holds(missing_id)
-        return False
+    async def _sync_all(self):
+        """Wait until all changes so far are durable.
 
-    async def _push_turn(self, name, turn):
-        """Store a turn in another folder; return what its chain lacks."""
-        try:
-            reply = await self._relay_links.request(
-                name, messages.KeepChainedTurn(turn), REQUEST_TIMEOUT_S
-            )
-        except NOT_UNDERSTOOD:
-            await self._relay_links.request(
-                name, messages.KeepTurn(turn), REQUEST_TIMEOUT_S
-            )
-            return ''
-        if reply.missing_id and self.archive.holds(reply.missing_id):
-            # The next of the chain may be missing, too, or on its way.
-            await self._push_turn(name, self.archive.find(reply.missing_id))
-            return await self._push_turn(name, turn)
-        return reply.missing_id
+        The future is shared, so a waiter that is cancelled leaves it alone.
 
-    async def _read_folder(self, name, needs):
-        """Add the records of a folder that this one needs and lacks.
-
-        Returns:
-            Whether the folder is in sync; None if it was not read to its end.
+        Raises:
+            ArchiveWriteFailed: some may not be.
         """
-        try:
-            return await self._read_listed(name, needs)
-        except NOT_UNDERSTOOD as error:
-            logging.info('archive: %s is of an older build: %s', name, error)
-        except (errors.LinkError, errors.ArchiveWriteFailed) as error:
-            logging.info('archive: cannot read %s: %s', name, error)
-            return None
-        # An older build lists nothing, nor does it tell if it is in sync.
-        return True if await self._pull_records(name, needs) else None
-
-    async def _read_listed(self, name, needs):
-        is_whole, turn_count, charge_count = True, 0, 0
-        segment = -1
-        while segment:
-            listed = await self._relay_links.request(
-                name, messages.ListTurns(max(segment, 0)), REQUEST_TIMEOUT_S
-            )
-            turn_count += await self._fetch(
-                name,
-                [
-                    turn.turn_id
-                    for turn in listed.turns
-                    if not self.archive.holds(turn.turn_id)
-                    and needs(turn.program_id)
-                ],
-            )
-            is_whole = is_whole and listed.is_whole
-            segment = listed.next_segment
-        program_id = ''
-        while True:
-            listed = await self._relay_links.request(
-                name, messages.ListCharges(program_id), REQUEST_TIMEOUT_S
-            )
-            is_whole = is_whole and listed.is_whole
-            if not listed.charges:
-                break
-            program_id = listed.charges[-1].program_id
-            for charge in listed.charges:
-                if needs(charge.program_id):
-                    charge_count += self._put(charge)
-        if turn_count or charge_count:
-            decisions.record(
-                'missed_records_read',
-                folder=name,
-                turns=turn_count,
-                charges=charge_count,
-            )
-            self.missed_turns += turn_count
-        return is_whole
-
-    async def _fetch(self, name, turn_ids):
-        """Add turns of a folder; return how many were new."""
-        added_count = 0
-        while turn_ids:
-            reply = await self._relay_links.request(
-                name,
-                messages.FetchTurns(tuple(turn_ids[:MAX_FETCHED_TURNS])),
-                REQUEST_TIMEOUT_S,
-            )
-            for turn in reply.turns:
-                added_count += self._put(turn)
-            turn_ids = turn_ids[max(1, reply.count) :]
-        return added_count
-
-    async def _pull_records(self, name, needs):
-        cursor = (0, 0)
-        while True:
-            message = messages.PullRecords(*cursor)
-            try:
-                reply = await self._relay_links.request(
-                    name, message, REQUEST_TIMEOUT_S
-                )
-            except errors.LinkError as error:
-                logging.info('archive: cannot catch up from %s', error)
-                return False
-            try:
-                for record in (*reply.turns, *reply.entries):
-                    if needs(record.program_id):
-                        self._put(record)
-            except errors.ArchiveWriteFailed:
-                return False
-            if not reply.turns and not reply.entries:
-                return True
-            cursor = (reply.segment, reply.offset)
+        await asyncio.shield(self._request_sync())
 
     def _request_sync(self) -> asyncio.Future:
         """Return a future that is done once all changes so far are durable.
@@ -446,7 +309,7 @@
                     message.expires_at_s,
                 )
             )
-            await asyncio.shield(self._request_sync())
+            await self._sync_all()
         turns, missing_id = (), message.parent_id
         if message.wants_chain:
             turns, missing_id = self.archive.chain(message.parent_id)
@@ -476,13 +339,13 @@
         self.stored_turns += 1
         self._put(turn)
         missing_id = self.archive.missing_ancestor(turn.turn_id)
-        await asyncio.shield(self._request_sync())
+        await self._sync_all()
         return missing_id
 
     async def _on_settle_turn(self, _sender, message):
         self._check_writable()
         self._put(message.entry)
-        await asyncio.shield(self._request_sync())
+        await self._sync_all()
         yield messages.Kept(self.archive.folder_id)
 
     async def _on_list_turns(self, _sender, message):
--- a/balsamdale/disk_archive.py
+++ b/balsamdale/disk_archive.py
@@ -7,11 +7,8 @@
 
 import asyncio
 import collections
-from collections import abc as collections_abc
-import dataclasses
 import os
 import pathlib
-import struct
 import uuid
 import zlib
 
@@ -22,11 +19,10 @@
 from balsamdale import codec
 from balsamdale import errors
 from balsamdale import history
+from balsamdale import segments
 
 __all__ = ['DiskArchive']
 
-# Length and checksum in front of each record.
-RECORD_HEADER = struct.Struct('<II')
 IDENTITY_FILE_NAME = 'identity'
 # Size at which a new segment starts; a folder holds a few segments.
 MAX_SEGMENT_BYTES = 8 * 1024 * 1024
@@ -46,30 +42,6 @@
     is_whole: bool
 
 
-@dataclasses.dataclass
-class _Segment:
-    """A file of records."""
-
-    number: int
-    path: pathlib.Path
-    size_bytes: int = 0
-    started_at_s: float = 0.0
-    expires_at_s: float = 0.0
-    turn_ids: list[str] = dataclasses.field(default_factory=list)
-    program_ids: set[str] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _TurnLocation:
-    """Position of a turn's record."""
-
-    segment: int
-    offset: int
-    size_bytes: int
-    parent_id: str
-    program_id: str
-
-
 class DiskArchive(archive.Archive):
     """An archive in a data folder: segment files, an index in memory.
 
@@ -87,8 +59,8 @@
         super().__init__()
         self._folder = pathlib.Path(folder)
         self._folder.mkdir(parents=True, exist_ok=True)
-        self._locations: dict[str, _TurnLocation] = {}
-        self._segments: dict[int, _Segment] = collections.OrderedDict()
+        self._locations: dict[str, segments.TurnLocation] = {}
+        self._segments: dict[int, segments.Segment] = collections.OrderedDict()
         self._read_descriptors: dict[int, int] = {}
         # The segment that has the last record of each charge, by program and
         # turn.
@@ -176,7 +148,7 @@
         the next one.
         """
         payload = codec.encode(record)
-        header = RECORD_HEADER.pack(len(payload), zlib.crc32(payload))
+        header = segments.RECORD_HEADER.pack(len(payload), zlib.crc32(payload))
         data = header + payload
         segment = self._active_segment
         try:
@@ -311,14 +283,16 @@
         if self._active_file is not None:
             self._active_file.close()
         self._active_file = file
-        self._active_segment = _Segment(number, path, started_at_s=now_s)
+        self._active_segment = segments.Segment(
+            number, path, started_at_s=now_s
+        )
         self._segments[number] = self._active_segment
 
     def _index_record(self, segment, record, size_bytes):
-        offset = segment.size_bytes + RECORD_HEADER.size
+        offset = segment.size_bytes + segments.RECORD_HEADER.size
         expires_at_s = record.expires_at_s
         if isinstance(record, history.Turn):
-            self._locations[record.turn_id] = _TurnLocation(
+            self._locations[record.turn_id] = segments.TurnLocation(
                 segment.number,
                 offset,
                 size_bytes,
@@ -373,13 +347,13 @@
             start,
             min(archive.PULL_BATCH_BYTES, segment.size_bytes - start),
         )
-        length, _ = RECORD_HEADER.unpack_from(data)
-        if RECORD_HEADER.size + length > len(data):
+        length, _ = segments.RECORD_HEADER.unpack_from(data)
+        if segments.RECORD_HEADER.size + length > len(data):
             data = self._read_at(
-                segment.number, start, RECORD_HEADER.size + length
+                segment.number, start, segments.RECORD_HEADER.size + length
             )
         records, consumed_bytes = [], 0
-        for record, end_offset in _iter_records(data):
+        for record, end_offset in segments.iter_records(data):
             records.append(record)
             consumed_bytes = end_offset
         return tuple(records), start + consumed_bytes
@@ -387,13 +361,17 @@
     def _replay(self, now_s):
         """Rebuild the index and the accounts from the segments."""
         for path in sorted(self._folder.glob('*.log')):
-            segment = _Segment(int(path.stem), path, started_at_s=now_s)
+            segment = segments.Segment(
+                int(path.stem), path, started_at_s=now_s
+            )
             self._segments[segment.number] = segment
             data = path.read_bytes()
-            for record, end_offset in _iter_records(data):
+            for record, end_offset in segments.iter_records(data):
                 self._index_charge(record, segment)
                 size_bytes = (
-                    end_offset - segment.size_bytes - RECORD_HEADER.size
+                    end_offset
+                    - segment.size_bytes
+                    - segments.RECORD_HEADER.size
                 )
                 self._index_record(segment, record, size_bytes)
             if segment.size_bytes < len(data):
@@ -419,30 +397,9 @@
         except OSError as error:
             logging.error('archive: %s: %s', segment.path.name, error)
             data = segment.path.read_bytes()
-            self._unsynced = [record for record, _ in _iter_records(data)]
+            self._unsynced = [
+                record for record, _ in segments.iter_records(data)
+            ]
             self._has_sync_failed = True
         finally:
             os.close(descriptor)
-
-
-def _iter_records(
-    data: bytes,
-) -> collections_abc.Iterator[tuple[archive.Record, int]]:
-    """Yield each valid record with the offset of its end.
-
-    Stops at the first incomplete or corrupt record.
-    """
-    offset = 0
-    while offset + RECORD_HEADER.size <= len(data):
-        length, checksum = RECORD_HEADER.unpack_from(data, offset)
-        start = offset + RECORD_HEADER.size
-        payload = data[start : start + length]
-        if len(payload) < length or zlib.crc32(payload) != checksum:
-            return
-        try:
-            record = codec.decode(payload)
-        except errors.UnknownMessage as error:
-            logging.error('archive: a record cannot be read: %s', error)
-            return
-        offset = start + length
-        yield record, offset
--- a/tests/folder_cluster.py
+++ b/tests/folder_cluster.py
@@ -186,9 +186,13 @@
         self._tasks.spawn_loop(self.service.run)
         self._tasks.spawn_loop(lambda: self.member.run(is_first_start))
 
+    def end_tasks(self):
+        """End the loops of the process."""
+        self._tasks.cancel()
+
     def kill(self):
         """End the process; its files remain as they are."""
-        self._tasks.cancel()
+        self.end_tasks()
         self.service._background.cancel()
         if self.service._sync_task is not None:
             self.service._sync_task.cancel()
@@ -259,21 +263,29 @@
         self.processes[name] = Process(self, name, is_first_start)
         return self.processes[name]
 
+    async def stop(self, name: str) -> None:
+        """Stop a process in order."""
+        process = self._remove(name)
+        process.end_tasks()
+        await process.service.close()
+
     def kill(self, name: str) -> None:
-        """Kill a process."""
+        """Kill a process, if it still runs."""
+        if name in self.processes:
+            self._remove(name).kill()
+
+    def _remove(self, name):
         self.network.links.pop(name)
-        self.processes.pop(name).kill()
+        return self.processes.pop(name)
 
     def cut_power(self, name: str) -> None:
         """End a process and drop what its disk has not synced."""
-        if name in self.processes:
-            self.kill(name)
+        self.kill(name)
         self._os.drop_unsynced(self.folder(name))
 
     def wipe(self, name: str) -> None:
         """End a process and empty its disk."""
-        if name in self.processes:
-            self.kill(name)
+        self.kill(name)
         shutil.rmtree(self.folder(name))
 
     def set_cut(self, name: str, is_cut: bool) -> None:
--- a/tests/proofs/folder_world.py
+++ b/tests/proofs/folder_world.py
@@ -46,12 +46,14 @@
         down_s: seconds until it starts.
         disk: what the disk has then, one of `DISK_KINDS`.
         turns: turns that are served in order while it is down.
+        is_planned: whether it is stopped in order, not killed.
     """
 
     number: int
     down_s: float = 1.0
     disk: str = 'kept'
     turns: tuple[archive_world.Turn, ...] = ()
+    is_planned: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -256,6 +258,8 @@
 
     async def _restart(self, step):
         name = await self._next_lost(step.number)
+        if step.is_planned:
+            await self._cluster.stop(name)
         self._end(name, step.disk)
         await self._serve_turns(step.turns)
         await asyncio.sleep(step.down_s)
--- a/tests/proofs/test_folders.py
+++ b/tests/proofs/test_folders.py
@@ -40,6 +40,7 @@
         DOWN_TIMES_S,
         strategies.sampled_from(folder_world.DISK_KINDS),
         TURN_TUPLES,
+        strategies.booleans(),
     ),
     strategies.builds(
         folder_world.Cut, SMALL_NUMBERS, DOWN_TIMES_S, TURN_TUPLES
@@ -105,7 +106,10 @@
         folder_world.play(1, seed, list(steps))
 
 
-def test_turns_outlive_a_folder_that_is_removed_after_another_restarted():
+@pytest.mark.parametrize('is_planned', [False, True])
+def test_turns_outlive_a_folder_that_is_removed_after_another_restarted(
+    is_planned,
+):
     """Guards against review/12.
 
     The first folder that had read the others deleted the key of the lost
@@ -114,7 +118,9 @@
     play(
         folder_world.Add(),
         archive_world.Wait(2.0),
-        folder_world.Restart(0, DOWN_S, turns=first_turns()),
+        folder_world.Restart(
+            0, DOWN_S, turns=first_turns(), is_planned=is_planned
+        ),
         archive_world.Wait(5.0),
         folder_world.Remove(2),
     )
--- a/tests/test_archive_service.py
+++ b/tests/test_archive_service.py
@@ -173,6 +173,35 @@
     virtual.run(scenario())
 
 
+def test_cancelled_wait_for_a_sync_leaves_it_to_the_others():
+    """Guards against syncs that fail at a planned stop.
+
+    A loop that was cancelled there took the future that others waited for.
+    """
+
+    async def scenario():
+        cluster = archives.ArchiveCluster()
+        service = cluster.services['d0']
+        started = asyncio.Event()
+
+        async def sync_slowly():
+            started.set()
+            await asyncio.sleep(1.0)
+
+        service.archive.sync_without_blocking = sync_slowly
+        waits = [asyncio.create_task(service.read_missed('d1'))]
+        await started.wait()
+        service.archive.put(builders.turn(1))
+        waits.append(asyncio.create_task(service.read_missed('d2')))
+        waits.append(asyncio.create_task(service.close()))
+        await asyncio.sleep(0.1)
+        waits[0].cancel()
+        waits[1].cancel()
+        await asyncio.wait_for(waits[2], 5.0)
+
+    virtual.run(scenario())
+
+
 def test_turns_outlive_a_clock_that_is_wrong_by_seconds():
     async def scenario():
         cluster = archives.ArchiveCluster()
--- a/tests/test_replica_member.py
+++ b/tests/test_replica_member.py
@@ -93,17 +93,18 @@
 
     async def scenario():
         async with running_cluster(tmp_path, 4) as cluster:
-            real_request = cluster.processes['d2'].service._read_folder
+            transfer = cluster.processes['d2'].service.transfer
+            read = transfer.read
 
             async def cannot_read(_name, _needs):
                 return None
 
-            cluster.processes['d2'].service._read_folder = cannot_read
+            transfer.read = cannot_read
             cluster.kill('d4')
             await asyncio.sleep(TIMEOUT_S)
             assert 'd4' in cluster.members()
             assert cluster.processes['d1'].service.reads.confirms('d4')
-            cluster.processes['d2'].service._read_folder = real_request
+            transfer.read = read
             await wait_until(lambda: 'd4' not in cluster.members())
 
     virtual.run(scenario())
