--- a/balsamdale/copies.py
+++ b/balsamdale/copies.py
@@ -1,6 +1,6 @@
 """Decides which copies a folder must hold and what it may confirm.
 
-Nothing here does I/O. `docs/design/copies.md` has the reasons.
+Nothing here does I/O. docs/design/copies.md has the reasons.
 """
 
 from collections import abc as collections_abc
