Fix folders that confirm turns whose chains they have not read yet

A folder that reads what it must hold takes the turns of its own programs. The turns of another program that these continue came up to 2 s later, while the folder had already confirmed that it lacks nothing, so that the key of a lost folder could go before. It reads the chains first now.

Evidence: test_folder_that_has_read_a_turn_has_its_chain failed before.

--- a/balsamdale/archive_service.py
+++ b/balsamdale/archive_service.py
@@ -137,7 +137,7 @@
         """Read from another folder the records that this one must hold.
 
         Those are the records of the programs that it is a replica of, among
-        the folders that are not lost.
+        the folders that are not lost, and the chains of their turns.
 
         Returns:
             Whether the folder was read to its end.
@@ -147,11 +147,10 @@
             self.reads.remaining(),
             self._losses,
         )
-        found = await self.transfer.read(name, needs)
-        if found is None:
+        if await self.transfer.read(name, needs) is None:
             return False
         await self._sync_all()
-        return True
+        return await self._fill_chains()
 
     async def unconfirmed(self, lost_name: str) -> list[str]:
         """Return the folders without which a lost one's key may not go.
@@ -182,9 +181,13 @@
 
         Entries of older builds do not send them, and a folder that has read
         a turn of another program lacks those before it.
+
+        Returns:
+            Whether all that was asked for is here or on no other folder.
         """
         missing_ids = self.archive.missing_ids(self._wall_clock())
-        peer_names = sorted(self._peer_names())
+        peer_names = sorted(self._peer_names() & self.reads.remaining())
+        have_replied = True
         # The newest first: those that no folder has any more stay missing.
         for turn_id in missing_ids[: -MAX_FILLED_GAPS - 1 : -1]:
             for name in list(peer_names):
@@ -192,8 +195,10 @@
                     break
                 if not await self.transfer.read_chain(name, turn_id):
                     peer_names.remove(name)
+                    have_replied = False
         if missing_ids:
             await self._sync_all()
+        return have_replied
 
     def _peer_names(self):
         return self._replica_set_names() - {self._relay_links.instance_id}
--- a/tests/test_replica_member.py
+++ b/tests/test_replica_member.py
@@ -157,3 +157,25 @@
                 assert not process.archive.missing_ids(0.0)
 
     virtual.run(scenario())
+
+
+def test_folder_that_has_read_a_turn_has_its_chain(tmp_path):
+    """Guards against folders that confirm turns without their chains."""
+
+    async def scenario():
+        async with running_cluster(tmp_path, 6) as cluster:
+            cluster.kill('d2')
+            first = builders.turn(1, program='first')
+            await store(cluster, first)
+            for number in range(2, 40):
+                turn = builders.turn(number, 1, f'p{number}')
+                await store(cluster, turn, (first,))
+            await asyncio.sleep(2.0)
+            archive = cluster.start('d2').archive
+            reads = cluster.processes['d2'].service.reads
+            while not reads.remaining() or reads.unread():
+                await asyncio.sleep(0.001)
+            assert any(archive.holds(f't{n}') for n in range(2, 40))
+            assert archive.missing_ids(0.0) == []
+
+    virtual.run(scenario())
