Fix budgets that are exceeded while the replica set changes

Cause: the replicas of a program follow from the set. An entry that had seen the addition and one that had not counted on majorities without a common folder, until the new folder had read what was stored while it joined.

Change: for a second after it has seen a change, an entry makes a reservation in the replicas of the earlier set, too (copies.SetOverlap). Otherwise nothing changes: one message a folder.

--- a/balsamdale/copies.py
+++ b/balsamdale/copies.py
@@ -7,7 +7,13 @@
 
 from balsamdale import placement
 
-__all__ = ['Needs', 'ReadTracker', 'is_caught_up', 'replicas']
+__all__ = [
+    'Needs',
+    'ReadTracker',
+    'SetOverlap',
+    'is_caught_up',
+    'replicas',
+]
 
 
 def replicas(
@@ -50,6 +56,41 @@
     return len(whole & others) >= required_count or others <= read
 
 
+class SetOverlap:
+    """Tells which replica sets instances may count majorities over.
+
+    Instances see a change of the set at different times. Two of them that
+    count over different sets may miss what the other has stored, so that a
+    reservation has to be made in each set that another may still use.
+
+    Args:
+        overlap_s: seconds within which all instances see a change.
+    """
+
+    def __init__(self, overlap_s: float):
+        self._overlap_s = overlap_s
+        self._names: tuple[str, ...] = ()
+        # Earlier sets, and until when they may be used.
+        self._earlier: list[tuple[tuple[str, ...], float]] = []
+
+    def observe(
+        self, names: tuple[str, ...], now_s: float
+    ) -> list[tuple[str, ...]]:
+        """Return the sets that may be in use, the present one first.
+
+        Args:
+            names: instance ids of the replica set.
+            now_s: the present time.
+        """
+        if names != self._names:
+            until_s = now_s + self._overlap_s
+            self._earlier.append((self._names, until_s))
+            self._names = names
+        if self._earlier:
+            self._earlier = [e for e in self._earlier if e[1] > now_s]
+        return [names, *(earlier for earlier, _ in self._earlier)]
+
+
 class Needs:
     """Whether a folder is a replica of a program.
 
--- a/balsamdale/quorum.py
+++ b/balsamdale/quorum.py
@@ -11,6 +11,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 
 from balsamdale import archive_messages as messages
 from balsamdale import background
@@ -23,6 +24,8 @@
 
 __all__ = ['Quorum', 'Reservation']
 
+# Seconds within which all entries see a change of the replica set.
+SET_OVERLAP_S = 1.0
 # Timeout of one attempt: a disk sync and a few round trips, with a margin.
 ATTEMPT_TIMEOUT_S = 0.4
 # Seconds between attempts at one replica.
@@ -76,6 +79,7 @@
         self._folders = folders
         self._losses = losses
         self._failure_domain = failure_domain
+        self._overlap = copies.SetOverlap(SET_OVERLAP_S)
         self._background = background.BackgroundTasks('quorum')
 
     @property
@@ -113,23 +117,21 @@
         if len(replicas) < self.write_quorum:
             raise errors.NoQuorum(len(replicas), self.write_quorum)
         nearest = replicas[0].instance_id
+        replica_sets = self._replica_sets(message.program_id)
         requests = {
-            folder.instance_id: dataclasses.replace(
-                message,
-                wants_chain=message.wants_chain
-                and folder.instance_id == nearest,
+            name: dataclasses.replace(
+                message, wants_chain=message.wants_chain and name == nearest
             )
-            for folder in replicas
+            for name in itertools.chain.from_iterable(replica_sets)
         }
         fan_out = _FanOut(self._links.request, requests, timeout_s)
-        read_quorum = self._read_quorum(len(replicas))
-        await fan_out.wait_until(
-            functools.partial(_is_reserved, self.write_quorum, read_quorum)
-        )
-        if message.tokens and not _is_reserved(
-            self.write_quorum, read_quorum, fan_out.replies
-        ):
-            raise errors.NoQuorum(len(_in_sync_replies(fan_out)), read_quorum)
+        is_reserved = functools.partial(self._is_reserved_in_all, replica_sets)
+        await fan_out.wait_until(is_reserved)
+        if message.tokens and not is_reserved(fan_out.replies):
+            raise errors.NoQuorum(
+                len(_in_sync_replies(fan_out)),
+                self._read_quorum(len(replicas)),
+            )
         if budget_tokens and self._count_spent_tokens(fan_out, message) > (
             WAIT_FOR_ALL_BUDGET_SHARE * budget_tokens
         ):
@@ -151,6 +153,30 @@
                 chain = earlier + chain
         return Reservation(chain, self._count_spent_tokens(fan_out, message))
 
+    def _replica_sets(self, program_id):
+        """Return the replicas of a program in each set that may be in use.
+
+        Sets that are too small for a write had none.
+        """
+        names = tuple(folder.instance_id for folder in self._folders())
+        now_s = asyncio.get_running_loop().time()
+        chosen = {
+            frozenset(copies.replicas(program_id, names, self._losses)): None
+            for names in self._overlap.observe(names, now_s)
+            if len(names) >= self.write_quorum
+        }
+        return list(chosen)
+
+    def _is_reserved_in_all(self, replica_sets, replies):
+        return all(
+            _is_reserved(
+                self.write_quorum,
+                self._read_quorum(len(names)),
+                {n: r for n, r in replies.items() if n in names},
+            )
+            for names in replica_sets
+        )
+
     def _count_spent_tokens(self, fan_out, message):
         merged = history.merge_accounts(
             reply.entries for reply in _in_sync_replies(fan_out)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -746,3 +746,9 @@
         return await decommission(self)
 
     archive_service.ArchiveService.decommission = decommission_at_once
+
+
+@mutation
+def sets_counted_apart():
+    """A reservation is made in the replica set alone that an entry sees."""
+    copies.SetOverlap.observe = lambda self, names, now_s: [names]
--- a/tests/proofs/folder_world.py
+++ b/tests/proofs/folder_world.py
@@ -73,7 +73,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Add:
-    """Adds an archive."""
+    """Adds archives.
+
+    Attributes:
+        count: how many, at once.
+        rounds: turns that are served meanwhile, those of a round at once.
+    """
+
+    count: int = 1
+    rounds: tuple[tuple[archive_world.Turn, ...], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -213,7 +221,10 @@
                 self._cluster.set_cut(name, False)
                 self._mark_returned(name)
             case Add():
-                await self._add()
+                await asyncio.gather(
+                    self._serve_rounds(step.rounds),
+                    *(self._add() for _ in range(step.count)),
+                )
             case Remove():
                 await self._remove(step)
             case Empty():
@@ -270,6 +281,10 @@
         for turn in turns:
             await self._serve_turn(turn)
 
+    async def _serve_rounds(self, rounds):
+        for turns in rounds:
+            await asyncio.gather(*(self._serve_turn(t) for t in turns))
+
     async def _remove(self, step):
         name = await self._next_lost(step.number)
         self._cluster.kill(name)
--- a/tests/proofs/test_folders.py
+++ b/tests/proofs/test_folders.py
@@ -45,7 +45,11 @@
     strategies.builds(
         folder_world.Cut, SMALL_NUMBERS, DOWN_TIMES_S, TURN_TUPLES
     ),
-    strategies.builds(folder_world.Add),
+    strategies.builds(
+        folder_world.Add,
+        strategies.integers(1, 3),
+        strategies.lists(TURN_TUPLES, max_size=8).map(tuple),
+    ),
     strategies.builds(
         folder_world.RepeatId, strategies.integers(0, 3), SMALL_NUMBERS
     ),
@@ -184,8 +188,8 @@
     )
 
 
-def spend(tokens=archive_world.MAX_TURN_TOKENS):
-    return turn(tokens=tokens, has_budget=True)
+def spend(tokens=archive_world.MAX_TURN_TOKENS, program=0, entry=0):
+    return archive_world.Turn(entry, program, 0, tokens, 'stored')
 
 
 @pytest.mark.point(3, 'account_ends_with_turn')
@@ -261,3 +265,18 @@
         folder_world.RestartAll(),
         archive_world.ConcurrentTurns(first_turns()),
     )
+
+
+@pytest.mark.point(3, 'sets_counted_apart')
+def test_budget_holds_while_entries_see_different_sets():
+    """Guards against charges that an addition hides.
+
+    One entry counted on the folders before the addition, another on those
+    after it, and the two majorities had no folder in common.
+    """
+    rounds = tuple(
+        tuple(spend(program=p, entry=(number + p) % 2) for p in range(8))
+        for number in range(12)
+    )
+    for seed in range(40):
+        folder_world.play(1, seed, [folder_world.Add(3, rounds)])
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -104,3 +104,20 @@
             needs = copies.Needs(name, names, 1)
             assert needs(program_id) == (name in replicas)
             assert copies.Needs(name, frozenset('abc'), 1)(program_id)
+
+
+def test_earlier_sets_count_until_all_have_seen_the_change():
+    overlap = copies.SetOverlap(1.0)
+    overlap.observe(('a', 'b'), 0.0)
+    assert overlap.observe(('a', 'b'), 5.0) == [('a', 'b')]
+    assert overlap.observe(('a', 'b', 'c'), 5.5) == [
+        ('a', 'b', 'c'),
+        ('a', 'b'),
+    ]
+    assert overlap.observe(('a', 'c'), 6.0) == [
+        ('a', 'c'),
+        ('a', 'b'),
+        ('a', 'b', 'c'),
+    ]
+    assert overlap.observe(('a', 'c'), 6.6) == [('a', 'c'), ('a', 'b', 'c')]
+    assert overlap.observe(('a', 'c'), 7.0) == [('a', 'c')]
