--- a/tests/test_replica_member.py
+++ b/tests/test_replica_member.py
@@ -8,7 +8,6 @@
 from tests import folder_cluster
 from tests import virtual
 
-KEEP_S = 1e9
 TIMEOUT_S = 15.0
 
 
@@ -38,6 +37,16 @@
     await cluster.entries[0].store_turn(turn, 1.0, *([chain] if chain else []))
 
 
+async def wait_until_read(reads):
+    """Wait until a folder has read all others."""
+    await wait_until(lambda: reads.remaining() and not reads.unread())
+
+
+def replicas_of(cluster, program_id):
+    folders = cluster.entries[0].replicas(program_id)
+    return {folder.instance_id for folder in folders}
+
+
 def holders(cluster, turn_id):
     return {
         name
@@ -76,13 +85,9 @@
                 await store(cluster, turn)
             await asyncio.sleep(2.0)
             cluster.start('d2')
-            reads = cluster.processes['d2'].service.reads
-            await wait_until(lambda: reads.remaining() and not reads.unread())
+            await wait_until_read(cluster.processes['d2'].service.reads)
             for number in range(1, 61):
-                replicas = {
-                    f.instance_id
-                    for f in cluster.entries[0].replicas(f'p{number}')
-                }
+                replicas = replicas_of(cluster, f'p{number}')
                 assert holders(cluster, f't{number}') == replicas
 
     virtual.run(scenario())
@@ -130,13 +135,9 @@
                 await store(cluster, turn)
             await asyncio.sleep(0.5)
             cluster.start('d3')
-            reads = cluster.processes['d3'].service.reads
-            await wait_until(lambda: reads.remaining() and not reads.unread())
+            await wait_until_read(cluster.processes['d3'].service.reads)
             for number in range(1, 20):
-                replicas = {
-                    f.instance_id
-                    for f in cluster.entries[0].replicas(f'p{number}')
-                }
+                replicas = replicas_of(cluster, f'p{number}')
                 assert holders(cluster, f't{number}') >= replicas
 
     virtual.run(scenario())
