Fix late reservations that undo a settlement

Once the turn's segment was deleted a restart found only the reservation, and counted the turn at its highest price. The merged charge is written now; test_late_reservation_does_not_undo_a_settlement failed before.

--- a/balsamdale/archive.py
+++ b/balsamdale/archive.py
@@ -211,17 +211,25 @@
             charges.extend(self.account(name))
         return tuple(charges)
 
+    def _known_charge(self, charge):
+        """Return the charge of the same turn, if there is one."""
+        return self._accounts.get(charge.program_id, {}).get(charge.turn_id)
+
+    def _merged_charge(self, charge: history.Charge) -> history.Charge:
+        """Return a charge with what is known of its turn."""
+        known = self._known_charge(charge)
+        return (
+            charge if known is None else history.merge_charges(known, charge)
+        )
+
     def _is_new_charge(self, charge: history.Charge) -> bool:
         """Return whether adding a charge changes its account."""
-        account = self._accounts.get(charge.program_id, {})
-        known = account.get(charge.turn_id)
-        return known is None or history.merge_charges(known, charge) != known
+        return self._merged_charge(charge) != self._known_charge(charge)
 
     def _add_charge(self, charge: history.Charge) -> None:
         """Add a charge to its account, which lives as long as its last one."""
         account = self._accounts.setdefault(charge.program_id, {})
-        known = account.get(charge.turn_id, charge)
-        account[charge.turn_id] = history.merge_charges(known, charge)
+        account[charge.turn_id] = self._merged_charge(charge)
 
     def _expire_accounts(self, now_s):
         expired_ids = [
@@ -271,6 +279,7 @@
         elif not self._is_new_charge(record):
             return False
         else:
+            record = self._merged_charge(record)
             self._add_charge(record)
         self._records.append(record)
         return True
--- a/balsamdale/disk_archive.py
+++ b/balsamdale/disk_archive.py
@@ -104,6 +104,8 @@
                 return False
         elif not self._is_new_charge(record):
             return False
+        else:
+            record = self._merged_charge(record)
         self._append(record)
         self._unsynced.append(record)
         self._index_charge(record, self._active_segment)
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -156,6 +156,23 @@
     assert not tested_archive.put(charge)
 
 
+def test_late_reservation_does_not_undo_a_settlement(tmp_path):
+    """Guards against turns that a restart counts at their highest price.
+
+    The reservation came after the stored turn, was kept for longer, and was
+    all that its segment had.
+    """
+    tested_archive = disk_archive.DiskArchive(str(tmp_path), True, 0.0)
+    tested_archive.put(builders.turn(1, expires_at_s=60.0))
+    tested_archive.rotate(disk_archive.MAX_SEGMENT_AGE_S + 1)
+    tested_archive.put(builders.charge(1, 100, expires_at_s=180.0))
+    tested_archive.expire(70.0)
+    assert not tested_archive.holds('t1')
+    tested_archive.close()
+    (charge,) = reopen(tmp_path).account('p')
+    assert charge == builders.charge(1, 1, True, expires_at_s=180.0)
+
+
 def test_account_outlives_the_segments_of_its_early_turns(tmp_path):
     """Guards against budgets that a restart hands out again.
 
